--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,44 @@
+/** Time types of the decision core.
+ *
+ * The core never reads a clock: each function that decides takes the present time as its first argument. The adapters
+ * map a monotonic system clock onto CoreClock, and tests use virtual time.
+ */
+#pragma once
+
+#include <chrono>
+
+namespace jackdawdoor {
+
+/** Resolution of all durations in the core. */
+using Duration = std::chrono::microseconds;
+
+/** Clock of the decision core. It has no now(): the time is always passed in. */
+struct CoreClock {
+    using rep = Duration::rep;
+    using period = Duration::period;
+    using duration = Duration;
+    using time_point = std::chrono::time_point<CoreClock, Duration>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): name required by the clock concept
+};
+
+using TimePoint = CoreClock::time_point;
+
+/** Seconds as a floating-point number, for rates and reports. */
+constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/** Milliseconds as a floating-point number, for logs and reports. */
+constexpr double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/** Duration of a number of seconds, rounded to microseconds. */
+constexpr Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace jackdawdoor
--- /dev/null
+++ b/test/testmain.cpp
@@ -0,0 +1,3 @@
+/** Entry point shared by the test programs. */
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
