--- a/src/contract/policy.h
+++ b/src/contract/policy.h
@@ -110,4 +110,9 @@
     const ServicePolicy *findService(const ServiceId &id) const;
 };
 
+struct Contract;
+
+/** The policy that follows from an accepted contract. Equal contracts give equal policies on every instance. */
+CustomerPolicy derivePolicy(const Contract &contract);
+
 } // namespace jackdawdoor::contract
