--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,127 @@
+/** SWIM-style failure detector of one instance.
+ *
+ * Each second the instance pings one member; without an answer it asks three others to ping it, then suspects it. A
+ * suspect that doesn't refute in time has failed. Rumours travel on the pings and their answers.
+ *
+ * Rumours about one id are ordered by incarnation, then refutation number, then state (see MemberState), and only the
+ * largest counts, so that all instances come to the same belief in whatever order they hear them.
+ */
+#pragma once
+
+#include "base/outgoing.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/instancelist.h"
+#include "membership/membershipmessage.h"
+#include "membership/membershipview.h"
+#include "membership/membertable.h"
+#include "membership/rumourqueue.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jackdawdoor::membership {
+
+constexpr Duration pingPeriod = std::chrono::seconds{1};
+/** Well above the round trip of 1 ms between data centres, and short enough to leave indirect pings 700 ms. */
+constexpr Duration ackTimeout = std::chrono::milliseconds{300};
+/** Members asked to ping a silent one. */
+constexpr std::size_t indirectPings = 3;
+/** A gap between ticks longer than a slot lease means that this instance's leases may have lapsed unnoticed. */
+constexpr Duration pauseGap = std::chrono::seconds{2};
+/** Without any message for this long an instance takes itself for deaf and spreads no rumours about others. */
+constexpr Duration deafAfter = std::chrono::seconds{3};
+/** After a longer silence or pause the beliefs are too old to pass on; the instance synchronises anew. */
+constexpr Duration staleAfter = std::chrono::seconds{60};
+
+using MembershipMessages = std::vector<Outgoing<MembershipMessage>>;
+
+/** Failure detector and member table of one instance. Tick it every 100 ms or so. */
+class Membership
+{
+public:
+    /** The state of `self` is taken as Live. The random source must outlive this object. */
+    Membership(Member self, RandomSource &random);
+
+    /** Pings, raises and expires suspicions, notices pauses. */
+    MembershipMessages onTick(TimePoint now);
+
+    /** Takes rumours from any sender; answers pings. */
+    MembershipMessages onPeerMessage(TimePoint now, const InstanceRef &from, const MembershipMessage &message);
+
+    /** Adds candidates and marks leaving members. An empty list is ignored: the last one is kept. */
+    MembershipMessages onInstanceList(TimePoint now, const InstanceList &list);
+
+    /** Announces that this instance stops. It keeps answering pings. */
+    MembershipMessages beginLeave(TimePoint now);
+
+    /** The current picture of the fleet; never null. */
+    MembershipViewPointer view() const;
+
+    /** True from a pause on until another member has answered a ping sent since; drop leases and refuse
+     * non-idempotent dispatch meanwhile. Without other members the next tick ends it. */
+    bool pausedUntilRefuted(TimePoint now) const;
+
+    /** Number of pauses noticed; a change tells that leases must be dropped. */
+    std::uint64_t pauses() const;
+
+    /** True when a later incarnation of this id is known: this process must stop serving. */
+    bool superseded() const;
+
+    /** Address to which a message to this receiver goes; empty when unknown. */
+    std::string addressOf(const InstanceRef &receiver) const;
+
+private:
+    struct Probe {
+        InstanceRef target;
+        std::uint64_t sequence = 0;
+        TimePoint sentAt;
+        bool indirect = false; ///< the indirect pings are out
+    };
+    struct Relay {
+        InstanceRef asker;
+        std::uint64_t askerSequence = 0;
+        TimePoint sentAt;
+    };
+
+    void noteTime(TimePoint now);
+    void notePause(TimePoint now, Duration gap);
+    bool isDeaf(TimePoint now) const;
+    void mergeUpdates(TimePoint now, const InstanceRef &from, const std::vector<MemberUpdate> &updates);
+    void mergeOwn(const MemberUpdate &update);
+    std::vector<MemberUpdate> updatesFor(TimePoint now, const InstanceRef &receiver);
+    Outgoing<MembershipMessage> ping(TimePoint now, const InstanceRef &target, std::uint64_t sequence);
+    MembershipMessages answer(TimePoint now, const InstanceRef &from, const Ping &ping);
+    MembershipMessages answer(TimePoint now, const InstanceRef &from, const PingRequest &request);
+    MembershipMessages answer(TimePoint now, const InstanceRef &from, const Ack &ack);
+    void startPeriod(TimePoint now, MembershipMessages &out);
+    void startProbe(TimePoint now, const InstanceRef &target, bool indirectAtOnce, MembershipMessages &out);
+    void askHelpers(TimePoint now, const Probe &probe, MembershipMessages &out);
+    void concludeProbes(TimePoint now);
+    void retryUnheard(TimePoint now, MembershipMessages &out);
+    void synchronise(TimePoint now, MembershipMessages &out);
+    std::optional<InstanceRef> nextTarget();
+    void expire(TimePoint now);
+
+    RandomSource &m_random;
+    MemberTable m_table;
+    RumourQueue m_rumours;
+    std::vector<Probe> m_probes; ///< of the current period
+    std::map<std::uint64_t, Relay> m_relays; ///< pings sent on behalf of others, by our sequence number
+    std::vector<InstanceId> m_round; ///< members still to ping in this round, in random order
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_firstSequenceAfterPause = 0;
+    std::uint64_t m_pauses = 0;
+    bool m_paused = false;
+    bool m_superseded = false;
+    bool m_synchronising = true;
+    InstanceId m_synchronisedThrough;
+    TimePoint m_nextSynchronisation;
+    TimePoint m_nextPeriod;
+    TimePoint m_lastHeard;
+    std::optional<TimePoint> m_lastTick;
+    std::optional<InstanceRef> m_suspectRaised; ///< suspicion that this instance raised and keeps probing
+};
+
+} // namespace jackdawdoor::membership
