--- /dev/null
+++ b/src/configuration/configurationmessage.h
@@ -0,0 +1,88 @@
+/** Messages by which instances spread contract versions.
+ *
+ * A new version is announced by a Summaries message; a receiver that lacks the body asks for it. Each second an
+ * instance sends its Digest to one random peer, and only when the two differ do bucket hashes and summaries follow.
+ */
+#pragma once
+
+#include "base/time.h"
+#include "configuration/customerstate.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace jackdawdoor::configuration {
+
+/** Customers are spread over this many buckets by hash; 512 bytes of hashes name the buckets that differ. */
+constexpr std::size_t digestBuckets = 64;
+/** Bodies in one message at most; a larger answer is asked for again. */
+constexpr std::size_t maximumMessageBytes = 256 * 1024;
+/** Summaries in one message: about 40 bytes each. */
+constexpr std::size_t maximumSummaries = 256;
+
+/** What the sender knows, in short. */
+struct Digest {
+    std::uint64_t hash = 0; ///< over customers, versions and anchors
+    Offset completeAsOf = 0; ///< the sender has decided every customer before this offset; 0 when it has not
+
+    bool operator==(const Digest &) const = default;
+};
+
+/** Answer to a differing Digest. */
+struct BucketDigest {
+    std::vector<std::uint64_t> hashes; ///< digestBuckets of them
+
+    bool operator==(const BucketDigest &) const = default;
+};
+
+/** One customer's state without its body. */
+struct Summary {
+    CustomerId customer;
+    Version version = 0;
+    Offset asOf = 0;
+    Offset anchor = 0; ///< 0 when unknown
+    Duration anchorAge{}; ///< resolution of a second
+
+    bool operator==(const Summary &) const = default;
+};
+
+/** States that the sender has; the receiver asks for those it lacks and sends back those it has newer. */
+struct Summaries {
+    std::vector<Summary> summaries;
+
+    bool operator==(const Summaries &) const = default;
+};
+
+/** Asks for bodies. */
+struct StateRequest {
+    std::vector<CustomerId> customers;
+
+    bool operator==(const StateRequest &) const = default;
+};
+
+/** States with their bodies, up to maximumMessageBytes. */
+struct States {
+    std::vector<CustomerState> states;
+
+    bool operator==(const States &) const = default;
+};
+
+using ConfigurationMessage = std::variant<Digest, BucketDigest, Summaries, StateRequest, States>;
+
+/** Codec as positional arrays. The from_json functions throw nlohmann::json::exception on malformed input. */
+void to_json(nlohmann::json &json, const Digest &digest);
+void from_json(const nlohmann::json &json, Digest &digest);
+void to_json(nlohmann::json &json, const BucketDigest &digest);
+void from_json(const nlohmann::json &json, BucketDigest &digest);
+void to_json(nlohmann::json &json, const Summaries &summaries);
+void from_json(const nlohmann::json &json, Summaries &summaries);
+void to_json(nlohmann::json &json, const StateRequest &request);
+void from_json(const nlohmann::json &json, StateRequest &request);
+void to_json(nlohmann::json &json, const States &states);
+void from_json(const nlohmann::json &json, States &states);
+
+} // namespace jackdawdoor::configuration
--- /dev/null
+++ b/src/configuration/customerhistory.h
@@ -0,0 +1,92 @@
+/** What one reader knows of one customer: a decided state, or publishes that wait for one. */
+#pragma once
+
+#include "configuration/contractcompiler.h"
+#include "configuration/customerstate.h"
+#include "configuration/logrecord.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::configuration {
+
+/** How the rule decided one publish. */
+enum class Verdict {
+    Accepted,
+    LostRace, ///< the base version was not the customer's version
+    Invalid, ///< the body is not a valid contract
+};
+
+/** Decision on one publish record. */
+struct PublishDecision {
+    Offset offset = 0;
+    CustomerId customer;
+    std::string publishId;
+    Verdict verdict = Verdict::LostRace;
+    Version version = 0; ///< the customer's version after the record
+    std::string reason; ///< why the body is invalid
+
+    bool operator==(const PublishDecision &) const = default;
+};
+
+using PolicyPointer = std::shared_ptr<const contract::CustomerPolicy>;
+
+/** State and waiting publishes of one customer. The rule is applied here and nowhere else. */
+class CustomerHistory
+{
+public:
+    explicit CustomerHistory(CustomerId customer);
+
+    /** The best state decided so far, even when later records were missed. */
+    const std::optional<CustomerState> &state() const;
+
+    /** Policy of the state; null for a tombstone, a customer that does not exist, or an unknown one. */
+    const PolicyPointer &policy() const;
+
+    /** First offset from which this reader has all records, for a reader whose log window starts there. */
+    Offset windowStart(Offset readerWindow) const;
+
+    /** True when the state can follow the log: no record between its asOf and the window was missed. */
+    bool follows(Offset readerWindow) const;
+
+    /** Offset before which the state takes all records into account, for a reader that has read up to `next`. */
+    Offset effectiveAsOf(Offset readerWindow, Offset next) const;
+
+    /** Applies or keeps a publish; returns the decisions that this made possible. */
+    std::vector<PublishDecision> publish(Offset offset, Publish publish, Offset readerWindow, const ContractCompiler &compile);
+
+    /** Takes a state decided elsewhere. An older one changes nothing; an invalid body is ignored. */
+    std::vector<PublishDecision> merge(const CustomerState &state, Offset readerWindow, const ContractCompiler &compile);
+
+    /** Drops the waiting publishes to save memory; the window of this customer then starts at `from`. */
+    void dropWaiting(Offset from);
+
+    std::size_t waitingBytes() const;
+    bool hasWaiting() const;
+
+    /** Writes the asOf reached into the state, before the reader's window moves. */
+    void settleAsOf(Offset readerWindow, Offset next);
+
+    std::optional<Anchor> anchor; ///< latest known
+    std::optional<Offset> snapshotSeen; ///< offset of the latest snapshot record, usable as a state or not
+
+private:
+    struct Waiting {
+        Offset offset = 0;
+        Publish publish;
+    };
+
+    PublishDecision decide(Offset offset, const Publish &publish, const ContractCompiler &compile);
+    std::vector<PublishDecision> replayWaiting(Offset readerWindow, const ContractCompiler &compile);
+
+    CustomerId m_customer;
+    std::optional<CustomerState> m_state;
+    PolicyPointer m_policy;
+    Offset m_windowStart = 0;
+    std::vector<Waiting> m_waiting;
+    std::size_t m_waitingBytes = 0;
+};
+
+} // namespace jackdawdoor::configuration
--- /dev/null
+++ b/src/configuration/logclock.h
@@ -0,0 +1,29 @@
+/** Estimates when an offset of the log was written. */
+#pragma once
+
+#include "base/time.h"
+#include "configuration/logrecord.h"
+
+#include <map>
+#include <optional>
+
+namespace jackdawdoor::configuration {
+
+/** A bounded number of (offset, time) marks. */
+class LogClock
+{
+public:
+    /** Notes that the record at this offset was appended at this time. Spacing is a 64th of the retention. */
+    void note(Offset offset, TimePoint appended, Duration retention);
+
+    /** Time of the last mark at or before the offset, which is never too late; none when there is no such mark. */
+    std::optional<TimePoint> timeOf(Offset offset) const;
+
+    /** Drops marks of expired records. */
+    void expireBefore(Offset firstRetained);
+
+private:
+    std::map<Offset, TimePoint> m_marks;
+};
+
+} // namespace jackdawdoor::configuration
--- /dev/null
+++ b/src/configuration/logpage.h
@@ -0,0 +1,39 @@
+/** One page read from the log. */
+#pragma once
+
+#include "base/time.h"
+#include "configuration/logrecord.h"
+
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::configuration {
+
+/** Record with its place in the log. */
+struct LogEntry {
+    Offset offset = 0;
+    Duration age{}; ///< time since it was appended, by the log's clock
+    std::string record; ///< as appended; may be anything
+
+    bool operator==(const LogEntry &) const = default;
+};
+
+/** Entries from the offset asked for, or from `firstRetained` when that is later. */
+struct LogPage {
+    Offset firstRetained = 0; ///< earlier records have expired
+    Offset nextOffset = 0; ///< where the next read starts; equal to the offset asked for at the end of the log
+    Duration retention{}; ///< how long the log keeps records
+    std::vector<LogEntry> entries; ///< by rising offset
+
+    bool operator==(const LogPage &) const = default;
+};
+
+/** A read that should be made. */
+struct LogRead {
+    Offset fromOffset = 0;
+    std::uint32_t maximumRecords = 0;
+
+    bool operator==(const LogRead &) const = default;
+};
+
+} // namespace jackdawdoor::configuration
--- /dev/null
+++ b/src/configuration/versiontable.h
@@ -0,0 +1,104 @@
+/** Versions of all customers, from the log and from peers, by one deterministic rule.
+ *
+ * A reader has the records of a window [windowStart, next) of the log. A customer's state decided as of an offset in or
+ * after that window can follow the log; any other is kept in force but is not advanced, and publishes of that customer
+ * wait until a snapshot or a peer supplies a state within the window. Readers with different windows thereby never
+ * decide differently; they can only be undecided.
+ */
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "configuration/configurationmessage.h"
+#include "configuration/contractcompiler.h"
+#include "configuration/customerhistory.h"
+#include "configuration/logclock.h"
+#include "configuration/logpage.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jackdawdoor::configuration {
+
+/** Waiting publishes kept in memory at most; beyond it the customer concerned starts over. An eighth of the 64 MB that
+ * an instance may use. */
+constexpr std::size_t maximumWaitingBytes = 8 * 1024 * 1024;
+
+/** The version table of one instance. */
+class VersionTable
+{
+public:
+    explicit VersionTable(ContractCompiler compile);
+
+    /** Applies a page; records already read are skipped, a retention gap starts a new window. */
+    std::vector<PublishDecision> applyPage(TimePoint now, const LogPage &page);
+
+    /** Merges a peer's state. */
+    std::vector<PublishDecision> merge(const CustomerState &state);
+
+    /** Merges a peer's summary of a version that is also known here. */
+    std::vector<PublishDecision> mergeSummary(TimePoint now, const Summary &summary);
+
+    /** To be called when a peer's digest equals this table's: no customer is missing and all are decided before
+     * `asOf`. A reader that has not read that far jumps there. */
+    std::vector<PublishDecision> adoptComplete(TimePoint now, Offset asOf);
+
+    /** Offset before which all customers, also the absent ones, are decided; 0 when that is not known. */
+    Offset completeAsOf() const;
+
+    /** First offset that was not read. */
+    Offset next() const;
+
+    /** State of a customer with a version above 0 and with the effective asOf. */
+    std::optional<CustomerState> stateOf(const CustomerId &customer) const;
+    Version versionOf(const CustomerId &customer) const;
+    PolicyPointer policyOf(const CustomerId &customer) const;
+
+    /** True when the customer's state takes all records read into account. */
+    bool isCurrent(const CustomerId &customer) const;
+
+    std::optional<Anchor> anchorOf(const CustomerId &customer) const;
+
+    /** Customers with a version above 0, tombstones included, by id. */
+    std::vector<CustomerId> customers() const;
+    std::map<CustomerId, Version> versions() const;
+
+    /** Customers that have a contract in force. */
+    std::size_t contracts() const;
+
+    std::uint64_t digest() const;
+    std::vector<std::uint64_t> bucketHashes() const;
+    std::optional<Summary> summaryOf(TimePoint now, const CustomerId &customer) const;
+
+    /** Latest CycleEnd seen. */
+    const std::optional<Anchor> &cycleEnd() const;
+
+    /** Bucket of a customer, below digestBuckets. */
+    static std::size_t bucketOf(const CustomerId &customer);
+
+private:
+    using Decisions = std::vector<PublishDecision>;
+
+    void startWindow(Offset start);
+    void apply(TimePoint appended, const LogEntry &entry, Decisions &decisions);
+    void apply(TimePoint appended, Offset offset, Publish publish, Decisions &decisions);
+    void apply(Offset offset, const Snapshot &snapshot, Decisions &decisions);
+    void apply(TimePoint appended, Offset offset, const CycleEnd &cycleEnd, Decisions &decisions);
+    void concludeAbsent(Offset asOf, bool unlessSnapshot, Decisions &decisions);
+    void append(Decisions &decisions, std::vector<PublishDecision> more);
+    void raiseAnchor(CustomerHistory &history, const Anchor &anchor);
+    void boundWaiting(CustomerHistory &history);
+    CustomerHistory &historyOf(const CustomerId &customer);
+
+    ContractCompiler m_compile;
+    std::map<CustomerId, CustomerHistory> m_histories;
+    LogClock m_clock;
+    Offset m_windowStart = 0;
+    Offset m_next = 0;
+    Offset m_absentAsOf = 0; ///< customers without a state did not exist before this offset
+    std::size_t m_waitingBytes = 0;
+    std::optional<Anchor> m_cycleEnd;
+};
+
+} // namespace jackdawdoor::configuration
