--- /dev/null
+++ b/src/health/fleethealth.h
@@ -0,0 +1,74 @@
+/** The coordinator's judgement of a service's upstreams. */
+#pragma once
+
+#include "contract/policy.h"
+#include "health/evidencereport.h"
+#include "health/floorguard.h"
+#include "health/probation.h"
+#include "health/verdict.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jackdawdoor::health {
+
+/** Merges holders' evidence; ejects fleet-wide only when two instances agree, and owns the probation of what it ejected. */
+class FleetHealth
+{
+public:
+    FleetHealth(const contract::ServicePolicy &policy, std::uint64_t policyVersion);
+
+    /** A holder's report; replaces its earlier one. Reports for another policy version are ignored. */
+    void onEvidence(TimePoint now, const InstanceId &instance, const EvidenceReport &report);
+
+    /** Upstreams that count as unusable for the floor: draining, leaving or cold ones. */
+    void setUnavailable(const UpstreamId &upstream, bool unavailable);
+
+    /** All current verdicts, to be sent to all holders; call every 500 ms and after urgent evidence. */
+    Verdicts judge(TimePoint now);
+
+    /** Note of the last judge() when the floor kept upstreams that the evidence would eject. */
+    const std::optional<FloorBound> &floorBound() const;
+
+private:
+    struct Report {
+        TimePoint at;
+        UpstreamEvidence evidence;
+        std::uint32_t recentGood = 0; ///< good answers since the holder was last seen with bad evidence
+        bool said = false; ///< the holder has reported on this upstream
+    };
+    struct Entry {
+        explicit Entry(const contract::HealthPolicy &policy)
+            : probation(policy)
+        {
+        }
+        std::map<InstanceId, Report> reports;
+        Probation probation;
+        bool wantsEjection = false;
+        double severity = 0;
+        InstanceId trialHolder;
+        TimePoint trialHolderSince;
+        std::optional<TimePoint> returnedAt;
+        InstanceId opinionFrom;
+        TimePoint opinionSince;
+        bool unavailable = false;
+    };
+
+    void considerEjection(TimePoint now, Entry &entry);
+    void mergeTrials(TimePoint now, Entry &entry, const InstanceId &instance, const UpstreamEvidence &evidence);
+    void applyFloor(TimePoint now);
+    std::optional<Verdict> verdictFor(TimePoint now, std::uint32_t index);
+    InstanceId chooseTrialHolder(TimePoint now, const Entry &entry) const;
+    std::optional<InstanceId> chooseOpinion(TimePoint now, Entry &entry);
+    void forgetSilent(TimePoint now);
+
+    contract::ServicePolicy m_policy;
+    std::uint64_t m_policyVersion;
+    FloorGuard m_floor;
+    std::vector<Entry> m_entries;
+    std::map<InstanceId, TimePoint> m_holders; ///< last report of each holder
+    std::optional<FloorBound> m_bound;
+};
+
+} // namespace jackdawdoor::health
--- /dev/null
+++ b/src/health/graydetector.h
@@ -0,0 +1,106 @@
+/** Tells gray upstreams from healthy ones by sequential tests. */
+#pragma once
+
+#include "contract/policy.h"
+#include "health/latencybaseline.h"
+#include "health/observation.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace jackdawdoor::health {
+
+/** State of the two tests of one upstream. */
+struct GrayScore {
+    double errors = 0; ///< cumulated log-likelihood ratio of failing against healthy
+    double slowness = 0; ///< cumulated log-likelihood ratio of slow against healthy, requests in progress included
+    int badAnswers = 0; ///< failed and slow answers since the scores were last zero
+    double severity = 0; ///< recent share of failures, weighted above recent slowness
+
+    bool operator==(const GrayScore &) const = default;
+
+    double larger() const;
+};
+
+/** CUSUM tests of every upstream of one service, for errors and for slowness.
+ *
+ * The healthy rates are the medians over the other upstreams. An upstream is gray only while most of the others that
+ * answered since its score left zero are well, so a fault of the whole service ejects nothing.
+ */
+class GrayDetector
+{
+public:
+    GrayDetector(const contract::HealthPolicy &policy, std::size_t upstreams);
+
+    /** A request was sent. freshConnection: it is certain that a new connection is used for it. */
+    void attemptStarted(TimePoint now, std::size_t upstream, std::uint64_t attempt, const OperationId &operation, bool freshConnection);
+
+    /** A request ended. forgiveSlowness: the upstream is in its cold start. */
+    void observe(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness);
+
+    GrayScore score(TimePoint now, std::size_t upstream) const;
+
+    /** There is enough evidence to look at the upstream more closely, though not enough to eject it. */
+    bool isSuspect(TimePoint now, std::size_t upstream) const;
+
+    /** There is enough evidence to eject the upstream, and its siblings are well. */
+    bool isGray(TimePoint now, std::size_t upstream) const;
+
+    /** Only the connections used so far are in doubt: the next attempt should open a new one. */
+    bool needsNewConnection(TimePoint now, std::size_t upstream) const;
+
+    int inProgress(std::size_t upstream) const;
+
+    /** Forgets the evidence against an upstream, when its probation begins or ends. */
+    void reset(std::size_t upstream);
+
+    const LatencyBaseline &baseline() const;
+
+    /** Moving share of failures among the upstream's answers. */
+    double failureShare(std::size_t upstream) const;
+
+    /** Moving share of shed responses among the upstream's answers. */
+    double shedShare(std::size_t upstream) const;
+
+private:
+    struct Running {
+        std::uint64_t attempt = 0;
+        OperationId operation;
+        TimePoint started;
+        bool freshConnection = false;
+    };
+    struct Upstream {
+        double errors = 0;
+        double slowness = 0;
+        int badAnswers = 0;
+        TimePoint suspectSince; ///< when the scores left zero
+        TimePoint lastAnswer;
+        bool lastAnswerBad = false;
+        bool answered = false;
+        int heldFailures = 0; ///< failures on old connections, not counted until a new connection fails too
+        double failureShare = 0;
+        double shedShare = 0;
+        double recentExcess = 0; ///< moving mean of log(latency / baseline)
+        std::vector<Running> running;
+    };
+    struct InProgressEvidence {
+        double fresh = 0; ///< evidence from requests on new connections
+        double total = 0;
+        int slow = 0; ///< requests past the slow threshold
+        int slowFresh = 0;
+    };
+
+    double healthyFailureRate(std::size_t upstream) const;
+    double slownessRatio(const OperationId &operation, std::size_t upstream, Duration latency, bool stillRunning) const;
+    InProgressEvidence inProgressEvidence(TimePoint now, std::size_t upstream) const;
+    bool siblingsAreWell(TimePoint now, std::size_t upstream) const;
+    void addFailures(std::size_t upstream, int count);
+    void countAnswer(TimePoint now, std::size_t upstream, bool bad);
+
+    contract::HealthPolicy m_policy;
+    LatencyBaseline m_baseline;
+    std::vector<Upstream> m_upstreams;
+};
+
+} // namespace jackdawdoor::health
--- /dev/null
+++ b/src/health/localhealth.h
@@ -0,0 +1,138 @@
+/** A holder's view of the health of one service's upstreams. */
+#pragma once
+
+#include "contract/policy.h"
+#include "health/evidencereport.h"
+#include "health/floorguard.h"
+#include "health/graydetector.h"
+#include "health/observation.h"
+#include "health/probation.h"
+#include "health/verdict.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::health {
+
+/** Why an upstream gets or does not get work. */
+enum class Standing {
+    Healthy,
+    Suspect, ///< some evidence of a fault; more is being gathered
+    Ejected,
+    Probation, ///< ejected, and a trial may be sent now
+    Ramping, ///< returned a short while ago
+    Cold, ///< started a short while ago
+    Draining,
+    Leaving,
+};
+
+/** Name of a standing in logs, such as "ejected". */
+std::string standingName(Standing standing);
+
+/** What routing needs to know of one upstream. */
+struct UpstreamState {
+    Standing standing = Standing::Healthy;
+    bool trialDue = false; ///< an idempotent request should be sent now as a trial (AttemptKind::Trial)
+    bool checkDue = false; ///< suspect, or a second opinion is wanted: the next idempotent request should go here
+    bool newConnection = false; ///< attempts should open a new connection
+    double share = 1; ///< share of normal traffic, below 1 while ramping
+    int inProgress = 0; ///< attempts running now
+    Duration unused{}; ///< since an attempt was last started
+    double severity = 0; ///< how bad it is
+
+    bool operator==(const UpstreamState &) const = default;
+};
+
+/** A decision for the log. */
+struct HealthChange {
+    UpstreamId upstream;
+    std::string change; ///< "eject", "return" or "keep"
+    std::string reason; ///< evidence, and the floor when it decided
+
+    bool operator==(const HealthChange &) const = default;
+};
+
+/** Ejects upstreams on this holder's evidence and on the coordinator's verdicts, within the floor. */
+class LocalHealth
+{
+public:
+    LocalHealth(const contract::ServicePolicy &policy, InstanceId self, std::uint64_t policyVersion);
+
+    /** An attempt is sent. freshConnection: it must open a new connection. */
+    void attemptStarted(TimePoint now,
+                        const UpstreamId &upstream,
+                        std::uint64_t attempt,
+                        const OperationId &operation,
+                        AttemptKind kind,
+                        bool freshConnection);
+
+    /** An attempt's outcome is known; unknown upstreams are ignored. Changes follow at the next onTick or at once. */
+    std::vector<HealthChange> record(TimePoint now, const Observation &observation);
+
+    /** Counts requests in progress and runs probation; to be called every 100 ms. */
+    std::vector<HealthChange> onTick(TimePoint now);
+
+    UpstreamState stateOf(TimePoint now, const UpstreamId &upstream) const;
+
+    /** Expected time to the first byte. A failing upstream never counts as quicker than the median. */
+    Duration expectedLatency(const OperationId &operation, const UpstreamId &upstream) const;
+
+    /** The evidence changed in a way that the coordinator should learn at once. */
+    bool evidenceUrgent() const;
+    EvidenceReport takeEvidence(TimePoint now);
+    std::vector<HealthChange> applyVerdicts(TimePoint now, const Verdicts &verdicts);
+
+    void setDraining(const UpstreamId &upstream, bool draining);
+    void setLeaving(const UpstreamId &upstream);
+    /** The upstream's process started: slow answers are forgiven for the cold start allowance. */
+    void markStarted(TimePoint now, const UpstreamId &upstream);
+
+    /** Upstreams that are neither ejected nor draining, leaving or cold. */
+    int usable(TimePoint now) const;
+
+private:
+    struct Entry {
+        explicit Entry(const contract::HealthPolicy &policy)
+            : probation(policy)
+        {
+        }
+        Probation probation;
+        bool ejectedByFleet = false; ///< the coordinator owns the probation
+        bool trialsHere = false; ///< the coordinator asked this holder to run the trials
+        bool wantsEjection = false; ///< the evidence calls for it, whether or not the floor allows it
+        double ejectionSeverity = 0;
+        bool draining = false;
+        bool leaving = false;
+        std::optional<TimePoint> coldUntil;
+        TimePoint opinionUntil;
+        TimePoint lastStarted;
+        TimePoint lastVerdict;
+        std::uint32_t good = 0;
+        std::uint32_t bad = 0;
+        bool trialFailed = false;
+        bool kept = false; ///< the floor kept it at the last decision
+    };
+
+    std::optional<std::size_t> indexOf(const UpstreamId &upstream) const;
+    bool isCold(TimePoint now, const Entry &entry) const;
+    bool isAvailable(TimePoint now, const Entry &entry) const;
+    bool isTrialAllowed(TimePoint now, const Entry &entry) const;
+    void finishTrial(TimePoint now, std::size_t index, bool good, std::vector<HealthChange> &changes);
+    void applyFloor(TimePoint now, std::vector<HealthChange> &changes);
+    std::string describe(TimePoint now, std::size_t index) const;
+
+    contract::ServicePolicy m_policy;
+    InstanceId m_self;
+    std::uint64_t m_policyVersion;
+    absl::flat_hash_map<UpstreamId, std::size_t> m_index;
+    GrayDetector m_detector;
+    FloorGuard m_floor;
+    std::vector<Entry> m_entries;
+    std::size_t m_lastDispatched = 0; ///< upstream of the latest attempt; checks alternate with ordinary work
+    bool m_urgent = false;
+};
+
+} // namespace jackdawdoor::health
--- /dev/null
+++ b/src/limits/policylayouts.h
@@ -0,0 +1,45 @@
+/** Translates upstream indices of messages between policy versions. */
+#pragma once
+
+#include "contract/policy.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace jackdawdoor::limits {
+
+/** Remembers the upstream lists of the latest policy versions.
+ *
+ * Messages name upstreams by index. While a new version spreads, two instances may use different versions for some
+ * seconds; the older list lets them understand each other, so that leases do not lapse at each change of a contract.
+ */
+class PolicyLayouts
+{
+public:
+    PolicyLayouts(const contract::ServicePolicy &policy, std::uint64_t version);
+
+    void adopt(const contract::ServicePolicy &policy, std::uint64_t version);
+
+    std::uint64_t currentVersion() const;
+    bool knows(std::uint64_t version) const;
+
+    /** Index in the current policy of the upstream with this index in that version; nothing when it is gone. */
+    std::optional<std::size_t> toCurrent(std::uint64_t version, std::size_t index) const;
+
+    /** Index in that version of the upstream with this index in the current policy; nothing when it is not in there. */
+    std::optional<std::size_t> fromCurrent(std::uint64_t version, std::size_t index) const;
+
+private:
+    struct Layout {
+        std::uint64_t version = 0;
+        std::vector<UpstreamId> upstreams;
+    };
+    const Layout *find(std::uint64_t version) const;
+
+    std::deque<Layout> m_layouts; ///< the current one first
+};
+
+} // namespace jackdawdoor::limits
