--- /dev/null
+++ b/src/idempotency/homekeys.h
@@ -0,0 +1,194 @@
+/** The key table of a home incarnation: runs the work of each key at most once.
+ *
+ * Only the home incarnation named by a ticket dispatches keys of that ticket, and only after the ticket's witness has
+ * recorded the key. The life of a key:
+ *
+ *     absent -> Pending (record sent) -> Ready (confirmed) -> Running -> Completed | Unknown
+ *                   |                      |  ^                 |
+ *                   v                      v  |                 v
+ *                Closed <---------------- Idle <---------- proven not run
+ *
+ * "Not run" is final. Once it has been said for a key, the key is closed and never dispatched, because the caller may
+ * already have started anew under another key while a copy of the first request is still on its way. A proven
+ * not-run attempt can be retried at once (Ready), left for a resend (Idle, only while no answer was given), or closed.
+ *
+ * Keys refused while the table is full are remembered in a filter of fixed size for the same reason. The filter may
+ * close further keys by mistake, but only keys that were never admitted.
+ *
+ * After a pause the table is still valid: nobody else may dispatch its keys, and the witness never says "not run" for
+ * a recorded key. What must be refused is stated at resumeAfterPause().
+ */
+#pragma once
+
+#include "base/outgoing.h"
+#include "idempotency/closedkeyfilter.h"
+#include "idempotency/homeentry.h"
+#include "idempotency/idempotencymessage.h"
+#include "idempotency/issuerclocks.h"
+#include "idempotency/keylimits.h"
+#include "idempotency/tablehandover.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace jackdawdoor::idempotency {
+
+/** The request waits until a KeyEvent for its key arrives: the witness is being asked. */
+struct AwaitWitness {
+    bool operator==(const AwaitWitness &) const = default;
+};
+
+/** Another request with this key is waiting or running here; answer this one with the same result. */
+struct JoinRunning {
+    bool operator==(const JoinRunning &) const = default;
+};
+
+/** The request may be dispatched: call startDispatch() just before its attempt. */
+struct DispatchPermitted {
+    bool operator==(const DispatchPermitted &) const = default;
+};
+
+/** Answer with the stored outcome. */
+struct AnswerStored {
+    StoredAnswer answer;
+
+    bool operator==(const AnswerStored &) const = default;
+};
+
+/** Refuse the request. */
+struct RefuseKey {
+    KeyRefusal reason = KeyRefusal::Closed;
+    Certainty certainty = Certainty::Unknown;
+
+    bool operator==(const RefuseKey &) const = default;
+};
+
+/** The request belongs to another instance: start an OutcomeResolver for it. */
+struct ForwardToHome {
+    InstanceRef home;
+
+    bool operator==(const ForwardToHome &) const = default;
+};
+
+using Admission = std::variant<AwaitWitness, JoinRunning, DispatchPermitted, AnswerStored, RefuseKey, ForwardToHome>;
+
+/** Decision for the requests that wait for a key: DispatchPermitted for the first of them, or RefuseKey for all. */
+struct KeyEvent {
+    std::string key; ///< text of the key
+    Admission decision;
+
+    bool operator==(const KeyEvent &) const = default;
+};
+
+/** Messages to send and decisions for waiting requests. */
+struct HomeStep {
+    std::vector<Outgoing<IdempotencyMessage>> messages;
+    std::vector<KeyEvent> events;
+};
+
+/** Answer to admit(). */
+struct AdmitResult {
+    Admission decision;
+    std::vector<Outgoing<IdempotencyMessage>> messages;
+};
+
+/** What becomes of a key whose attempt provably did not run. */
+enum class NotRunNext {
+    RetryNow, ///< the same request is tried again: the key is Ready
+    LeaveOpen, ///< its caller is gone without an answer: a resend may run it
+    Close, ///< the caller is told "not run"
+};
+
+/** How far a planned stop has come. */
+enum class StopProgress {
+    Running, ///< beginStop() was not called
+    Draining, ///< admitted keys are still waiting or running
+    HandingOver, ///< chunks or announcements are not confirmed yet
+    HandedOver, ///< all witnesses answer for this incarnation
+    GivenUp, ///< a witness did not confirm in time; it answers from its own records
+};
+
+/** Key table of the home incarnation `self`. */
+class HomeKeys
+{
+public:
+    HomeKeys(InstanceRef self, KeyLimits limits);
+
+    /** Decides on a request with a key whose authenticator and service were checked. `fingerprint` is not 0. */
+    AdmitResult admit(TimePoint now, const IdempotencyKey &key, std::uint64_t fingerprint);
+
+    /** Takes the one dispatch permission of a Ready key. False: do not dispatch; the key is closed or was dispatched. */
+    bool startDispatch(TimePoint now, const std::string &key);
+
+    /** The attempt got its complete answer. Also accepted after recordUnknown(), when the answer came late. */
+    HomeStep recordCompleted(TimePoint now, const std::string &key, StoredAnswer answer);
+
+    /** The attempt ended without proof that it did not run. */
+    HomeStep recordUnknown(TimePoint now, const std::string &key);
+
+    /** The attempt provably did not run, or a Ready key was given up before its dispatch. */
+    HomeStep recordNotRun(TimePoint now, const std::string &key, NotRunNext next);
+
+    /** Answers an outcome query. A key that has not been admitted or is Idle is closed, so "not run" is certain. */
+    KeyOutcome outcomeOf(TimePoint now, const IdempotencyKey &key);
+
+    /** Handles Recorded, Refused, Reply, Query and HandoverConfirmed; ignores other messages. */
+    HomeStep onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message);
+
+    /** Resends unanswered messages, refuses keys whose witness is silent, drops forgotten keys, moves the stop on. */
+    HomeStep onTick(TimePoint now);
+
+    /** Stops admission for good. Keys that were admitted before run to their end. */
+    HomeStep beginStop(TimePoint now);
+
+    StopProgress stopProgress() const;
+
+    /** To be called first when the process notices that it was paused.
+     *
+     * Safe: running attempts, stored outcomes, dispatched keys. Closed as not run: keys that still wait for the witness
+     * and Ready keys that were not dispatched, since their callers' deadlines and this instance's leases have probably
+     * passed. Expired keys are closed by startDispatch() in any case.
+     */
+    HomeStep resumeAfterPause(TimePoint now);
+
+    std::size_t size() const; ///< keys in the table
+    std::size_t storedBytes() const; ///< bodies of stored answers
+
+private:
+    using Table = std::unordered_map<std::string, HomeEntry>;
+
+    TimePoint advance(TimePoint now);
+    HomeEntry *find(const std::string &key);
+    Admission admitPresent(HomeEntry &entry, std::uint64_t fingerprint);
+    AdmitResult admitAbsent(const IdempotencyKey &key, std::string text, std::uint64_t fingerprint, TicketAge age);
+    KeyOutcome outcomeOfAbsent(const std::string &text, const Ticket &ticket, TicketAge age);
+    void close(HomeEntry &entry, KeyRefusal reason, HomeStep &step);
+    void finish(HomeEntry &entry, KeyState state, HomeStep &step);
+    void queueUpdate(HomeEntry &entry, HomeStep &step);
+    void onRecorded(const InstanceRef &from, const Recorded &message, HomeStep &step);
+    void onRefused(const InstanceRef &from, const Refused &message, HomeStep &step);
+    void onReply(const InstanceRef &from, const Reply &message);
+    void retryMessages(HomeStep &step);
+    void dropForgotten();
+    void continueStop(HomeStep &step);
+    std::vector<HandedKey> exportTable() const;
+
+    InstanceRef m_self;
+    KeyLimits m_limits;
+    TimePoint m_now;
+    IssuerClocks m_clocks;
+    ClosedKeyFilter m_closedWhileFull;
+    Table m_table;
+    std::multimap<TimePoint, const std::string *> m_dropOrder; ///< pointers to the keys of m_table
+    std::multimap<TimePoint, const std::string *> m_retries; ///< keys with an unanswered record or update
+    std::size_t m_storedBytes = 0;
+    std::size_t m_unfinished = 0; ///< keys that are Pending, Ready or Running
+    bool m_stopping = false;
+    std::optional<TableHandover> m_handover;
+};
+
+} // namespace jackdawdoor::idempotency
--- /dev/null
+++ b/src/idempotency/keylimits.h
@@ -0,0 +1,27 @@
+/** Bounds and timeouts of the key tables. */
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+
+namespace jackdawdoor::idempotency {
+
+/** Limits of a HomeKeys or WitnessKeys. The control overhead target is 64 MB for an instance, both tables included. */
+struct KeyLimits {
+    std::size_t maximumEntries = 32768; ///< keys in the table, closed ones included
+    std::size_t maximumStoredBytes = 8 * 1024 * 1024; ///< bodies of stored answers, together
+    std::size_t maximumAnswerBytes = 16 * 1024; ///< body of one stored answer; a longer one is kept without its body
+    std::size_t maximumIssuers = 8192; ///< issuer incarnations whose clocks are tracked
+    std::size_t maximumHomes = 1024; ///< home incarnations that a witness tracks
+    Duration recordTimeout = std::chrono::milliseconds{800}; ///< the witness must confirm a record within this time
+    Duration retryInterval = std::chrono::milliseconds{200}; ///< unanswered control messages are sent again
+    int updateAttempts = 4; ///< sends of an outcome update that is not acknowledged
+    Duration handoverTimeout = std::chrono::seconds{10}; ///< a handover that is not confirmed by then is given up
+    Duration expiryMargin = std::chrono::seconds{30}; ///< entries live until the ticket expires plus this time
+    std::size_t chunkEntries = 64; ///< keys in one handover chunk
+    std::size_t chunkBytes = 32 * 1024; ///< bodies in one handover chunk
+    std::size_t closedFilterBits = std::size_t{1} << 20; ///< for keys refused while the table was full; allocated on use
+};
+
+} // namespace jackdawdoor::idempotency
--- /dev/null
+++ b/src/idempotency/keyoutcome.h
@@ -0,0 +1,55 @@
+/** What is known about the work behind an idempotency key. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace jackdawdoor::idempotency {
+
+/** Answer of the first run, kept for resends. */
+struct StoredAnswer {
+    int status = 0; ///< HTTP status
+    std::string contentType;
+    std::string body; ///< first bytes of the body
+    bool bodyComplete = false; ///< `body` is the whole body; false when it was too large to keep
+
+    bool operator==(const StoredAnswer &) const = default;
+};
+
+/** State of a key as told to another instance. */
+enum class OutcomeKind {
+    InProgress, ///< the home is running it or about to; ask again
+    Unknown, ///< it may have run, and it will not be run again
+    NotRun, ///< certain: it did not run and never will under this key
+    Completed, ///< it ran; the answer is attached
+    NotResponsible, ///< the instance asked is not the incarnation named by the ticket and knows nothing
+};
+
+/** State of a key with its answer. */
+struct KeyOutcome {
+    OutcomeKind kind = OutcomeKind::Unknown;
+    std::uint64_t fingerprint = 0; ///< of the request that used the key first; 0 when not known
+    StoredAnswer answer; ///< only when Completed
+
+    bool operator==(const KeyOutcome &) const = default;
+};
+
+/** Why a request with a key is refused. */
+enum class KeyRefusal {
+    Expired, ///< the ticket has expired
+    Closed, ///< the key was closed; a new ticket is needed
+    TableFull, ///< the home's table is full; the key is closed
+    WitnessUnreachable, ///< the witness did not confirm in time; the key is closed
+    WitnessRefused, ///< the witness had closed the key, was full, or is a later incarnation; the key is closed
+    Stopping, ///< the home is stopping
+    OutcomeUnknown, ///< an attempt ended without proof that it did not run
+    KeyReused, ///< the key was used before for a request with another fingerprint
+};
+
+/** How certain a refusal is. */
+enum class Certainty {
+    NotRun, ///< no upstream ran the work of this key or will run it
+    Unknown, ///< it may have run
+};
+
+} // namespace jackdawdoor::idempotency
--- /dev/null
+++ b/src/idempotency/tablehandover.h
@@ -0,0 +1,62 @@
+/** Hands the key table of a stopping home to the witnesses.
+ *
+ * Each witness gets the keys whose tickets name it, in chunks of bounded size. All chunks in a small window are sent
+ * and sent again until confirmed; then the completion is announced and confirmed in the same way. From then on the
+ * witness answers for the home incarnation.
+ */
+#pragma once
+
+#include "base/outgoing.h"
+#include "idempotency/idempotencymessage.h"
+#include "idempotency/keylimits.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace jackdawdoor::idempotency {
+
+/** A key with its final outcome, for the witness named by its ticket. */
+using HandedKey = HandoverEntry;
+
+/** One handover of a complete table. */
+class TableHandover
+{
+public:
+    /** Starts the handover of `keys` from `home` at `now`. */
+    TableHandover(TimePoint now, InstanceRef home, const KeyLimits &limits, const std::vector<HandedKey> &keys);
+
+    /** Messages that are due: first sends, and repeats of unconfirmed ones. */
+    std::vector<Outgoing<IdempotencyMessage>> onTick(TimePoint now);
+
+    /** Notes a confirmation; duplicates and unknown indices are ignored. */
+    void onConfirmed(const InstanceRef &from, const HandoverConfirmed &message);
+
+    bool complete() const; ///< every witness confirmed completion
+    bool givenUp() const; ///< the time for the handover has passed
+
+private:
+    struct Part {
+        HandoverChunk chunk;
+        bool confirmed = false;
+        TimePoint nextSend;
+    };
+    struct Receiver {
+        std::vector<Part> parts;
+        bool confirmed = false; ///< the completion is confirmed
+        TimePoint nextSend; ///< of the completion
+
+        bool allPartsConfirmed() const;
+    };
+
+    void addToChunks(Receiver &receiver, const HandedKey &key, const KeyLimits &limits);
+    void sendParts(TimePoint now, const InstanceRef &witness, Receiver &receiver, std::vector<Outgoing<IdempotencyMessage>> &messages);
+
+    InstanceRef m_home;
+    Duration m_retryInterval;
+    TimePoint m_deadline;
+    bool m_givenUp = false;
+    std::map<InstanceRef, Receiver> m_receivers;
+};
+
+} // namespace jackdawdoor::idempotency
--- /dev/null
+++ b/src/idempotency/witnesskeys.h
@@ -0,0 +1,93 @@
+/** The records of a witness incarnation.
+ *
+ * The witness promises one thing for each key: once it has confirmed a record it never says "not run" for the key on
+ * its own account, and once it has said "not run" (closed) it never confirms a record. State is kept for each home
+ * incarnation. A restarted witness is another incarnation: messages for tickets that name the earlier one are answered
+ * with Refused or NotResponsible, never with Recorded or Closed.
+ *
+ * Expiry is judged by the witness's own clock (IssuerClocks). After a record or a closed mark is dropped, its ticket is
+ * forgotten here: records of it are refused and the answer about it is Unknown. Home and witness may therefore drop a
+ * key at different times without a wrong answer: if the witness is first, the home cannot get a confirmation and the
+ * witness does not deny; if the home is first, the home never dispatches again.
+ *
+ * A full table refuses records, which the home answers as not run, and answers Unknown instead of closing. Records are
+ * never dropped before their time.
+ */
+#pragma once
+
+#include "base/outgoing.h"
+#include "idempotency/idempotencymessage.h"
+#include "idempotency/issuerclocks.h"
+#include "idempotency/keylimits.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jackdawdoor::idempotency {
+
+/** Records kept by the witness incarnation `self`. */
+class WitnessKeys
+{
+public:
+    WitnessKeys(InstanceRef self, KeyLimits limits);
+
+    /** Handles Record, Close, Query, OutcomeUpdate, HandoverChunk, HandoverComplete; ignores other messages.
+     *
+     * A Query addressed to this instance as home must go to HomeKeys instead; keyIsMine() tells them apart.
+     */
+    std::vector<Outgoing<IdempotencyMessage>> onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message);
+
+    /** Drops what has expired. */
+    void onTick(TimePoint now);
+
+    /** Whether this incarnation is the witness of the key. */
+    bool keyIsMine(const IdempotencyKey &key) const;
+
+    /** Whether the home has handed over its whole table. */
+    bool answersFor(const InstanceRef &home) const;
+
+    std::size_t size() const; ///< keys in the table
+    std::size_t storedBytes() const; ///< bodies of stored answers
+
+private:
+    struct Mark {
+        KeyOutcome outcome; ///< InProgress: recorded without an outcome yet
+    };
+    struct HomeRecords {
+        std::unordered_map<std::string, Mark> marks;
+        std::set<std::uint32_t> chunks; ///< received handover chunks
+        bool complete = false;
+        TimePoint dropAfter; ///< when an empty entry may be dropped
+    };
+    struct Drop {
+        InstanceRef home;
+        const std::string *key; ///< points to the key in HomeRecords::marks
+    };
+    using Messages = std::vector<Outgoing<IdempotencyMessage>>;
+
+    TimePoint advance(TimePoint now);
+    HomeRecords *records(const InstanceRef &home);
+    Mark *findMark(const IdempotencyKey &key, const std::string &text);
+    Mark *addMark(const IdempotencyKey &key, const std::string &text, KeyOutcome outcome);
+    void merge(Mark &mark, const KeyOutcome &outcome);
+    IdempotencyMessage onRecord(const Record &message);
+    IdempotencyMessage onClose(const Close &message);
+    IdempotencyMessage onQuery(const Query &message);
+    IdempotencyMessage onUpdate(const IdempotencyKey &key, const KeyOutcome &outcome);
+    Messages onChunk(const InstanceRef &from, const HandoverChunk &message);
+    Messages onComplete(const InstanceRef &from, const HandoverComplete &message);
+
+    InstanceRef m_self;
+    KeyLimits m_limits;
+    TimePoint m_now;
+    IssuerClocks m_clocks;
+    std::map<InstanceRef, HomeRecords> m_homes;
+    std::multimap<TimePoint, Drop> m_dropOrder;
+    std::size_t m_size = 0;
+    std::size_t m_storedBytes = 0;
+};
+
+} // namespace jackdawdoor::idempotency
