--- /dev/null
+++ b/src/net/eventloop.cpp
@@ -0,0 +1,147 @@
+#include "net/eventloop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <csignal>
+#include <future>
+
+namespace jackdawdoor::net {
+
+namespace {
+
+void prepareLibevent()
+{
+    static std::once_flag once;
+    std::call_once(once, [] {
+        evthread_use_pthreads();
+        // A write to a connection that the other side closed must fail with EPIPE and not end the process.
+        std::signal(SIGPIPE, SIG_IGN);
+    });
+}
+
+event_base *newBase()
+{
+    prepareLibevent();
+    return event_base_new();
+}
+
+} // namespace
+
+TimePoint now()
+{
+    return TimePoint{std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
+}
+
+EventLoop::EventLoop()
+    : m_base(newBase())
+    , m_wake(event_new(m_base, -1, EV_PERSIST, &EventLoop::onWake, this))
+{
+    event_add(m_wake, nullptr);
+}
+
+EventLoop::~EventLoop()
+{
+    stop();
+    event_free(m_wake);
+    event_base_free(m_base);
+}
+
+void EventLoop::start()
+{
+    m_started = true;
+    m_thread = std::thread([this] {
+        event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+    });
+}
+
+void EventLoop::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    post([this] {
+        event_base_loopbreak(m_base);
+    });
+    m_thread.join();
+    m_started = false;
+}
+
+void EventLoop::post(Message message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_queue.push_back(std::move(message));
+    }
+    event_active(m_wake, EV_TIMEOUT, 0);
+}
+
+void EventLoop::call(const Message &message)
+{
+    if (!m_started || std::this_thread::get_id() == m_thread.get_id()) {
+        message();
+        return;
+    }
+    std::promise<void> done;
+    post([&] {
+        message();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+event_base *EventLoop::base() const
+{
+    return m_base;
+}
+
+void EventLoop::onWake(int /*descriptor*/, short /*what*/, void *loop)
+{
+    static_cast<EventLoop *>(loop)->runQueued();
+}
+
+void EventLoop::runQueued()
+{
+    std::vector<Message> messages;
+    {
+        const std::lock_guard lock(m_mutex);
+        messages.swap(m_queue);
+    }
+    for (const Message &message : messages) {
+        message();
+    }
+}
+
+Timer::Timer(EventLoop &loop, std::function<void()> action)
+    : m_action(std::move(action))
+    , m_event(event_new(loop.base(), -1, 0, &Timer::onTimeout, this))
+{
+}
+
+Timer::~Timer()
+{
+    event_free(m_event);
+}
+
+void Timer::set(Duration delay)
+{
+    const auto microseconds = std::max<Duration::rep>(delay.count(), 0);
+    timeval value{};
+    value.tv_sec = microseconds / std::micro::den;
+    value.tv_usec = microseconds % std::micro::den;
+    event_add(m_event, &value);
+}
+
+void Timer::cancel()
+{
+    event_del(m_event);
+}
+
+void Timer::onTimeout(int /*descriptor*/, short /*what*/, void *timer)
+{
+    // The action may destroy the timer, so a copy of it runs.
+    const auto action = static_cast<Timer *>(timer)->m_action;
+    action();
+}
+
+} // namespace jackdawdoor::net
--- /dev/null
+++ b/src/net/eventloop.h
@@ -0,0 +1,83 @@
+/** Event loop of one task: a thread with its own libevent base and a message queue.
+ *
+ * A task owns its sockets and state and touches them only on its own thread. Other tasks reach it by post().
+ */
+#pragma once
+
+#include "base/time.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace jackdawdoor::net {
+
+/** Present time on the monotonic system clock, as the decision core counts it. */
+TimePoint now();
+
+/** Thread with an event base and a queue of messages. */
+class EventLoop
+{
+public:
+    using Message = std::function<void()>;
+
+    EventLoop();
+    ~EventLoop(); ///< stops the thread
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /** Starts the thread. */
+    void start();
+
+    /** Ends the loop after the message that is running and joins the thread. Messages still queued are dropped. */
+    void stop();
+
+    /** Queues a message; it runs on the loop's thread, in the order of posting. Callable from any thread. */
+    void post(Message message);
+
+    /** Runs a message on the loop's thread and waits for its end. Runs it at once when the loop is not started or from its own thread. */
+    void call(const Message &message);
+
+    /** The libevent base, for the task that owns the loop. */
+    event_base *base() const;
+
+private:
+    static void onWake(int descriptor, short what, void *loop);
+    void runQueued();
+
+    event_base *m_base;
+    event *m_wake;
+    std::mutex m_mutex;
+    std::vector<Message> m_queue;
+    std::thread m_thread;
+    bool m_started = false;
+};
+
+/** Timer on an event loop; used on the loop's thread only. Destruction cancels it. */
+class Timer
+{
+public:
+    Timer(EventLoop &loop, std::function<void()> action);
+    ~Timer();
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    /** Runs the action once after the delay; an earlier setting is replaced. */
+    void set(Duration delay);
+
+    void cancel();
+
+private:
+    static void onTimeout(int descriptor, short what, void *timer);
+
+    std::function<void()> m_action;
+    event *m_event;
+};
+
+} // namespace jackdawdoor::net
--- /dev/null
+++ b/src/net/httpmessage.cpp
@@ -0,0 +1,169 @@
+#include "net/httpmessage.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace jackdawdoor::net {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> hopByHop{"connection",
+                                                   "keep-alive",
+                                                   "proxy-authenticate",
+                                                   "proxy-authorization",
+                                                   "proxy-connection",
+                                                   "te",
+                                                   "trailer",
+                                                   "transfer-encoding",
+                                                   "upgrade"};
+
+bool isTokenCharacter(char character)
+{
+    return absl::ascii_isalnum(static_cast<unsigned char>(character)) || absl::StrContains("!#$%&'*+-.^_`|~", character);
+}
+
+bool isName(std::string_view name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
+}
+
+bool hasControlCharacter(std::string_view value)
+{
+    return std::any_of(value.begin(), value.end(), [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return (byte < 0x20 && byte != '\t') || byte == 0x7f;
+    });
+}
+
+int hexDigit(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    const char lower = absl::ascii_tolower(static_cast<unsigned char>(digit));
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const bool escape = text[index] == '%' && index + 2 < text.size();
+        if (escape && hexDigit(text[index + 1]) >= 0 && hexDigit(text[index + 2]) >= 0) {
+            decoded.push_back(static_cast<char>(hexDigit(text[index + 1]) * 16 + hexDigit(text[index + 2])));
+            index += 2;
+        } else {
+            decoded.push_back(text[index] == '+' ? ' ' : text[index]);
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string RequestContent::path() const
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string findHeader(const Headers &headers, std::string_view name)
+{
+    for (const Header &header : headers) {
+        if (absl::EqualsIgnoreCase(header.name, name)) {
+            return header.value;
+        }
+    }
+    return {};
+}
+
+std::size_t countHeaders(const Headers &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const Header &header) {
+        return absl::EqualsIgnoreCase(header.name, name);
+    }));
+}
+
+void setHeader(Headers &headers, std::string_view name, std::string value)
+{
+    std::erase_if(headers, [&](const Header &header) {
+        return absl::EqualsIgnoreCase(header.name, name);
+    });
+    headers.push_back({std::string(name), std::move(value)});
+}
+
+Headers withoutHopByHop(const Headers &headers)
+{
+    std::vector<std::string> named;
+    for (const Header &header : headers) {
+        if (absl::EqualsIgnoreCase(header.name, "Connection")) {
+            for (std::string_view option : absl::StrSplit(header.value, ',')) {
+                named.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(option)));
+            }
+        }
+    }
+    Headers kept;
+    for (const Header &header : headers) {
+        const std::string lower = absl::AsciiStrToLower(header.name);
+        const bool fixed = std::find(hopByHop.begin(), hopByHop.end(), lower) != hopByHop.end();
+        if (!fixed && std::find(named.begin(), named.end(), lower) == named.end()) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::optional<std::string> framingFault(const Headers &headers)
+{
+    for (const Header &header : headers) {
+        if (!isName(header.name) || hasControlCharacter(header.value)) {
+            return "a header name or value has a character that is not allowed";
+        }
+    }
+    const std::size_t lengths = countHeaders(headers, "Content-Length");
+    const std::size_t encodings = countHeaders(headers, "Transfer-Encoding");
+    if (lengths > 0 && encodings > 0) {
+        return "both Content-Length and Transfer-Encoding are given";
+    }
+    if (lengths > 1 || encodings > 1) {
+        return "Content-Length or Transfer-Encoding is given twice";
+    }
+    if (lengths == 1 && !parseNumber(findHeader(headers, "Content-Length"))) {
+        return "Content-Length is not a number";
+    }
+    if (encodings == 1 && !absl::EqualsIgnoreCase(findHeader(headers, "Transfer-Encoding"), "chunked")) {
+        return "Transfer-Encoding is not chunked";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string queryParameter(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    if (question == std::string_view::npos) {
+        return {};
+    }
+    for (std::string_view part : absl::StrSplit(target.substr(question + 1), '&')) {
+        const auto equals = part.find('=');
+        if (equals != std::string_view::npos && part.substr(0, equals) == name) {
+            return percentDecoded(part.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+} // namespace jackdawdoor::net
