--- /dev/null
+++ b/src/core/keyflow.cpp
@@ -0,0 +1,364 @@
+#include "core/keyflow.h"
+
+#include "core/keyrefusal.h"
+
+#include <utility>
+
+namespace jackdawdoor::core {
+
+using namespace idempotency;
+
+namespace {
+
+/** Timeouts of a resolver: well above the round trip between data centres of a region. */
+constexpr ResolverTimes resolverTimes{std::chrono::milliseconds{600}, std::chrono::milliseconds{600}, std::chrono::milliseconds{150}};
+/** A forwarded request whose end was not reported is forgotten this long after its deadline. */
+constexpr Duration forwardMemory = std::chrono::minutes{1};
+constexpr int badRequest = 400;
+
+template<typename... Handlers>
+struct Overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+const IdempotencyKey *keyOf(const IdempotencyMessage &message)
+{
+    return std::visit(
+        [](const auto &part) -> const IdempotencyKey * {
+            if constexpr (requires { part.key; }) {
+                return &part.key;
+            } else {
+                return nullptr;
+            }
+        },
+        message);
+}
+
+} // namespace
+
+KeyFlow::KeyFlow(InstanceRef self,
+                 TicketAuthenticator authenticate,
+                 const membership::Membership &membership,
+                 RequestFlow &requests,
+                 Outbox &outbox)
+    : m_self(std::move(self))
+    , m_authenticate(std::move(authenticate))
+    , m_membership(membership)
+    , m_requests(requests)
+    , m_outbox(outbox)
+    , m_home(m_self, KeyLimits{})
+    , m_witness(m_self, KeyLimits{})
+{
+    m_requests.setKeyHooks({[this](TimePoint now, const std::string &key) {
+                                return startDispatch(now, key);
+                            },
+                            [this](TimePoint now, const std::string &key, const RunReport &report) {
+                                finished(now, key, report);
+                            }});
+}
+
+void KeyFlow::onRequest(TimePoint now, PreparedRequest prepared)
+{
+    const auto key = IdempotencyKey::decodeFromCaller(prepared.request.key, m_authenticate);
+    if (!key || key.value().ticket.service != prepared.service->id) {
+        const std::string reason = key ? "the key's ticket is for another service" : key.error().reason;
+        m_requests.refuse(now, prepared, {badRequest, Disposition::NotRun, RefusalStage::Malformed, false, std::nullopt, reason});
+        return;
+    }
+    const AdmitResult result = m_home.admit(now, key.value(), prepared.request.fingerprint);
+    m_outbox.sendAll(result.messages);
+    if (std::holds_alternative<ForwardToHome>(result.decision)) {
+        startResolution(now, std::move(prepared), key.value());
+        return;
+    }
+    const std::string text = prepared.request.key;
+    applyAdmission(now, std::move(prepared), text, result.decision);
+}
+
+void KeyFlow::applyAdmission(TimePoint now, PreparedRequest prepared, const std::string &key, const Admission &decision)
+{
+    std::visit(Overloaded{
+                   [&](const AwaitWitness &) {
+                       m_waiting[key].push_back(std::move(prepared));
+                   },
+                   [&](const JoinRunning &) {
+                       m_waiting[key].push_back(std::move(prepared));
+                   },
+                   [&](const DispatchPermitted &) {
+                       m_requests.begin(now, std::move(prepared), key);
+                   },
+                   [&](const AnswerStored &stored) {
+                       answerStored(prepared, stored.answer);
+                   },
+                   [&](const RefuseKey &refuse) {
+                       m_requests.refuse(now, prepared, refusalFor(refuse));
+                   },
+                   [](const ForwardToHome &) {
+                   },
+               },
+               decision);
+}
+
+bool KeyFlow::startDispatch(TimePoint now, const std::string &key)
+{
+    return m_home.startDispatch(now, key);
+}
+
+void KeyFlow::finished(TimePoint now, const std::string &key, const RunReport &report)
+{
+    switch (report.end) {
+    case RunEnd::Completed:
+        applyStep(now, m_home.recordCompleted(now, key, report.answer));
+        break;
+    case RunEnd::Unknown:
+        applyStep(now, m_home.recordUnknown(now, key));
+        break;
+    case RunEnd::NotRunRetry:
+        applyStep(now, m_home.recordNotRun(now, key, NotRunNext::RetryNow));
+        return;
+    case RunEnd::NotRunOpen:
+        applyStep(now, m_home.recordNotRun(now, key, NotRunNext::LeaveOpen));
+        break;
+    case RunEnd::NotRunClosed:
+        applyStep(now, m_home.recordNotRun(now, key, NotRunNext::Close));
+        break;
+    }
+    answerWaiting(now, key, report);
+}
+
+void KeyFlow::answerWaiting(TimePoint now, const std::string &key, const RunReport &report)
+{
+    for (PreparedRequest &waiting : takeWaiting(key)) {
+        if (report.end == RunEnd::Completed) {
+            answerStored(waiting, report.answer);
+        } else if (report.end == RunEnd::NotRunOpen) {
+            // The caller of the first copy is gone; a waiting copy may run in its place.
+            onRequest(now, std::move(waiting));
+        } else {
+            const bool notRun = report.end == RunEnd::NotRunClosed;
+            const RefuseKey refuse{notRun ? KeyRefusal::Closed : KeyRefusal::OutcomeUnknown, notRun ? Certainty::NotRun : Certainty::Unknown};
+            m_requests.refuse(now, waiting, refusalFor(refuse));
+        }
+    }
+}
+
+std::vector<PreparedRequest> KeyFlow::takeWaiting(const std::string &key)
+{
+    const auto found = m_waiting.find(key);
+    if (found == m_waiting.end()) {
+        return {};
+    }
+    std::vector<PreparedRequest> waiting = std::move(found->second);
+    m_waiting.erase(found);
+    return waiting;
+}
+
+void KeyFlow::applyStep(TimePoint now, const HomeStep &step)
+{
+    m_outbox.sendAll(step.messages);
+    for (const KeyEvent &event : step.events) {
+        applyEvent(now, event);
+    }
+}
+
+void KeyFlow::applyEvent(TimePoint now, const KeyEvent &event)
+{
+    std::vector<PreparedRequest> waiting = takeWaiting(event.key);
+    if (std::holds_alternative<DispatchPermitted>(event.decision)) {
+        if (waiting.empty()) {
+            // Its callers have given up: a resend may run it.
+            applyStep(now, m_home.recordNotRun(now, event.key, NotRunNext::LeaveOpen));
+            return;
+        }
+        PreparedRequest first = std::move(waiting.front());
+        waiting.erase(waiting.begin());
+        if (!waiting.empty()) {
+            m_waiting[event.key] = std::move(waiting);
+        }
+        m_requests.begin(now, std::move(first), event.key);
+        return;
+    }
+    for (PreparedRequest &request : waiting) {
+        applyAdmission(now, std::move(request), event.key, event.decision);
+    }
+}
+
+bool KeyFlow::homeIsGone(const InstanceRef &home) const
+{
+    const membership::Member *member = m_membership.view()->find(home.id);
+    return member == nullptr || member->ref.incarnation > home.incarnation || member->state == membership::MemberState::Failed;
+}
+
+void KeyFlow::startResolution(TimePoint now, PreparedRequest prepared, const IdempotencyKey &key)
+{
+    const RequestId id = prepared.request.id;
+    // A forwarded request has reached the instance that the sender took for the home; this process is another one.
+    const bool gone = prepared.request.forwarded || homeIsGone(key.ticket.home);
+    OutcomeResolver resolver(key, prepared.request.fingerprint, ResolverPurpose::Resend, resolverTimes);
+    auto &resolution = m_resolutions.emplace(id, Resolution{std::move(prepared), std::move(resolver)}).first->second;
+    applyResolver(now, id, resolution.resolver.start(now, gone));
+}
+
+void KeyFlow::applyResolver(TimePoint now, RequestId id, const ResolverStep &step)
+{
+    m_outbox.sendAll(step.messages);
+    const auto found = m_resolutions.find(id);
+    if (const auto *forward = std::get_if<ForwardRequest>(&step.decision)) {
+        found->second.forwarded = true;
+        m_outbox.add(ForwardToPeer{id, forward->home, m_membership.addressOf(forward->home)});
+        return;
+    }
+    if (const auto *resolved = std::get_if<Resolved>(&step.decision)) {
+        const PreparedRequest prepared = std::move(found->second.prepared);
+        m_resolutions.erase(found);
+        answerOutcome(now, prepared, resolved->outcome);
+    }
+}
+
+void KeyFlow::answerOutcome(TimePoint now, const PreparedRequest &prepared, const KeyOutcome &outcome)
+{
+    if (outcome.kind == OutcomeKind::Completed) {
+        answerStored(prepared, outcome.answer);
+    } else {
+        m_requests.refuse(now, prepared, refusalFor(outcome));
+    }
+}
+
+void KeyFlow::answerStored(const PreparedRequest &prepared, const StoredAnswer &answer)
+{
+    m_outbox.add(RelayStored{prepared.request.id, answer.status, answer.contentType, answer.body, answer.bodyComplete});
+}
+
+void KeyFlow::onOutcomeQuery(TimePoint now, RequestId query, const std::string &text)
+{
+    PreparedRequest prepared;
+    prepared.request.id = query;
+    prepared.request.key = text;
+    prepared.arrived = now;
+    prepared.deadline = now;
+    const auto key = IdempotencyKey::decodeFromCaller(text, m_authenticate);
+    if (!key) {
+        m_requests.refuse(now, prepared, {badRequest, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, key.error().reason});
+        return;
+    }
+    prepared.request.service = key.value().ticket.service;
+    if (key.value().ticket.home == m_self) {
+        answerOutcome(now, prepared, m_home.outcomeOf(now, key.value()));
+        return;
+    }
+    OutcomeResolver resolver(key.value(), 0, ResolverPurpose::OutcomeQuery, resolverTimes);
+    auto &resolution = m_resolutions.emplace(query, Resolution{std::move(prepared), std::move(resolver)}).first->second;
+    applyResolver(now, query, resolution.resolver.start(now, homeIsGone(key.value().ticket.home)));
+}
+
+void KeyFlow::onForwardFailed(TimePoint now, RequestId request)
+{
+    const auto found = m_resolutions.find(request);
+    if (found != m_resolutions.end()) {
+        found->second.forwarded = false;
+        applyResolver(now, request, found->second.resolver.onForwardFailed(now));
+    }
+}
+
+void KeyFlow::onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message)
+{
+    const IdempotencyKey *key = keyOf(message);
+    const bool forHome = std::holds_alternative<Recorded>(message) || std::holds_alternative<Refused>(message)
+        || std::holds_alternative<HandoverConfirmed>(message) || std::holds_alternative<Reply>(message)
+        || (std::holds_alternative<Query>(message) && !m_witness.keyIsMine(*key));
+    if (forHome) {
+        applyStep(now, m_home.onMessage(now, from, message));
+    } else {
+        m_outbox.sendAll(m_witness.onMessage(now, from, message));
+    }
+    if (key == nullptr || !(std::holds_alternative<Reply>(message) || std::holds_alternative<Closed>(message))) {
+        return;
+    }
+    std::vector<RequestId> concerned;
+    for (const auto &[id, resolution] : m_resolutions) {
+        if (resolution.resolver.key() == *key) {
+            concerned.push_back(id);
+        }
+    }
+    for (const RequestId id : concerned) {
+        applyResolver(now, id, m_resolutions.at(id).resolver.onMessage(now, from, message));
+    }
+}
+
+void KeyFlow::onCallerGone(TimePoint now, RequestId request)
+{
+    m_resolutions.erase(request);
+    for (auto &[key, waiting] : m_waiting) {
+        std::erase_if(waiting, [request](const PreparedRequest &prepared) {
+            return prepared.request.id == request;
+        });
+    }
+    m_requests.onCallerGone(now, request);
+}
+
+void KeyFlow::onTick(TimePoint now)
+{
+    applyStep(now, m_home.onTick(now));
+    m_witness.onTick(now);
+    std::vector<RequestId> ids;
+    for (const auto &[id, resolution] : m_resolutions) {
+        ids.push_back(id);
+    }
+    for (const RequestId id : ids) {
+        Resolution &resolution = m_resolutions.at(id);
+        if (resolution.forwarded && now > resolution.prepared.deadline + forwardMemory) {
+            m_resolutions.erase(id);
+            continue;
+        }
+        applyResolver(now, id, resolution.resolver.onTick(now));
+    }
+    expireWaiting(now);
+}
+
+void KeyFlow::expireWaiting(TimePoint now)
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        std::vector<PreparedRequest> &waiting = entry->second;
+        for (std::size_t index = waiting.size(); index-- > 0;) {
+            if (now >= waiting[index].deadline) {
+                m_requests.refuse(now, waiting[index], refusalFor(KeyOutcome{OutcomeKind::InProgress, 0, {}}));
+                waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
+            }
+        }
+        entry = waiting.empty() ? m_waiting.erase(entry) : std::next(entry);
+    }
+}
+
+void KeyFlow::beginStop(TimePoint now)
+{
+    applyStep(now, m_home.beginStop(now));
+}
+
+StopProgress KeyFlow::stopProgress() const
+{
+    return m_home.stopProgress();
+}
+
+void KeyFlow::resumeAfterPause(TimePoint now)
+{
+    applyStep(now, m_home.resumeAfterPause(now));
+}
+
+std::size_t KeyFlow::waitingCount() const
+{
+    return m_waiting.size() + m_resolutions.size();
+}
+
+std::size_t KeyFlow::homeSize() const
+{
+    return m_home.size();
+}
+
+std::size_t KeyFlow::witnessSize() const
+{
+    return m_witness.size();
+}
+
+} // namespace jackdawdoor::core
--- /dev/null
+++ b/src/core/requestflowanswers.cpp
@@ -0,0 +1,352 @@
+/* Second half of RequestFlow: what happens after a dispatch. */
+#include "base/stablehash.h"
+#include "core/answerclass.h"
+#include "core/requestflow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::core {
+
+using health::OutcomeKind;
+
+namespace {
+
+constexpr int firstErrorStatus = 400;
+constexpr int badGateway = 502;
+constexpr int serviceUnavailable = 503;
+constexpr int gatewayTimeout = 504;
+
+bool isShortBody(const contract::WrongAnswerRule &rule, const AnswerHead &head, const AttemptReport &report)
+{
+    return head.status < firstErrorStatus && report.answerBytes < rule.minimumBodyBytes;
+}
+
+} // namespace
+
+void RequestFlow::observe(TimePoint now, Attempt &attempt, OutcomeKind outcome, bool newConnection)
+{
+    attempt.observed = true;
+    ServiceState *service = m_services.find(attempt.service);
+    if (service == nullptr) {
+        return;
+    }
+    const auto request = m_requests.find(attempt.request);
+    health::Observation observation;
+    observation.upstream = attempt.upstream;
+    observation.operation = request == m_requests.end() ? OperationId{} : request->second.operation().id;
+    observation.attempt = attempt.id;
+    observation.outcome = outcome;
+    observation.firstByte = now - attempt.started;
+    observation.newConnection = newConnection;
+    observation.kind = attempt.kind;
+    m_services.applyHealthChanges(now, *service, service->health.record(now, observation));
+}
+
+void RequestFlow::abandon(Attempt &attempt)
+{
+    if (!attempt.abandoned) {
+        attempt.abandoned = true;
+        m_outbox.add(CancelAttempt{attempt.id});
+    }
+}
+
+void RequestFlow::abandonOthers(ActiveRequest &request, AttemptId keep)
+{
+    for (const AttemptId id : request.running) {
+        if (id != keep) {
+            abandon(m_attempts.at(id));
+        }
+    }
+}
+
+void RequestFlow::onAnswerHead(TimePoint now, const AnswerHead &head)
+{
+    const auto found = m_attempts.find(head.attempt);
+    if (found == m_attempts.end() || found->second.abandoned) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    ActiveRequest &request = *find(attempt.request);
+    if (request.relaying) {
+        abandon(attempt);
+        return;
+    }
+    const OutcomeKind outcome = classifyHead(request.operation().wrongAnswer, head);
+    if (outcome == OutcomeKind::Success) {
+        observe(now, attempt, outcome, false);
+        relay(now, request, attempt, head);
+    } else {
+        onBadHead(now, request, attempt, head, outcome);
+    }
+    finishIfDone(attempt.request);
+}
+
+void RequestFlow::relay(TimePoint now, ActiveRequest &request, Attempt &attempt, const AnswerHead &head)
+{
+    if (ServiceState *service = m_services.find(attempt.service)) {
+        service->retryHint.onServed(now);
+    }
+    request.relaying = attempt.id;
+    request.relayedHead = head;
+    request.mayHaveRun = true;
+    ++m_counts.relayed;
+    abandonOthers(request, attempt.id);
+    m_outbox.add(RelayAnswer{request.id(), attempt.id});
+}
+
+void RequestFlow::onBadHead(TimePoint now, ActiveRequest &request, Attempt &attempt, const AnswerHead &head, OutcomeKind outcome)
+{
+    observe(now, attempt, outcome, false);
+    const bool shed = outcome == OutcomeKind::Shed;
+    const bool idempotent = request.operation().idempotent;
+    request.mayHaveRun = request.mayHaveRun || !shed;
+    if (outcome == OutcomeKind::Error && (!idempotent || request.callerGone)) {
+        relay(now, request, attempt, head);
+        return;
+    }
+    // The attempt no longer counts as running: whether the request may have run is known from its head.
+    std::erase(request.running, attempt.id);
+    const bool retried = (idempotent || shed) && retry(now, request, shed);
+    request.running.push_back(attempt.id);
+    if (!retried && outcome == OutcomeKind::Error) {
+        relay(now, request, attempt, head);
+        return;
+    }
+    abandon(attempt);
+    if (retried) {
+        return;
+    }
+    if (request.answered && shed) {
+        reportKey(now, request, {RunEnd::NotRunOpen, {}});
+    }
+    if (!idempotent && !shed) {
+        reportKey(now, request, {RunEnd::Unknown, {}});
+    }
+    std::erase(request.running, attempt.id);
+    if (shed) {
+        refuseActive(now, request, {serviceUnavailable, Disposition::NotRun, RefusalStage::NoUpstream, true, std::nullopt, "upstreams shed the request before running it"});
+    } else {
+        refuseActive(now, request, {badGateway, Disposition::Unknown, RefusalStage::AttemptsExhausted, idempotent, std::nullopt, "the upstream's answer breaks the contract"});
+    }
+    request.running.push_back(attempt.id);
+}
+
+bool RequestFlow::retry(TimePoint now, ActiveRequest &request, bool provenNotRun)
+{
+    ServiceState *service = m_services.find(request.prepared.service->id);
+    const bool useless = request.callerGone || request.answered || now >= request.prepared.deadline
+        || request.attemptsStarted >= request.operation().maximumAttempts;
+    if (useless || service == nullptr || !service->retries.tryRetry()) {
+        return false;
+    }
+    if (provenNotRun) {
+        reportKey(now, request, {RunEnd::NotRunRetry, {}});
+    }
+    if (tryDispatch(now, request, true) == Dispatch::NoSlot) {
+        enqueue(now, request, *service);
+    }
+    return true;
+}
+
+void RequestFlow::onAttemptFinished(TimePoint now, const AttemptReport &report)
+{
+    const auto found = m_attempts.find(report.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    Attempt attempt = std::move(found->second);
+    ServiceState *service = m_services.find(attempt.service);
+    bool countsAgainstUpstream = true;
+    if (report.end == AttemptEnd::Reset && service != nullptr) {
+        countsAgainstUpstream = onCrash(now, attempt, *service);
+    }
+    m_attempts.erase(found);
+    ActiveRequest &request = *find(attempt.request);
+    std::erase(request.running, attempt.id);
+    if (service != nullptr) {
+        service->slots.release(now, attempt.upstream);
+        service->queue.onServed(now);
+    }
+    const bool relayed = request.relaying == attempt.id;
+    const bool wanted = relayed || !attempt.abandoned;
+    const bool complete = wanted && report.end == AttemptEnd::Complete;
+    settleSuspect(now, request, attempt, report.end, complete);
+    if (service != nullptr && attempt.retry && wanted && !complete) {
+        service->retries.onRetryFailed();
+    }
+    if (relayed) {
+        onRelayedEnd(now, request, attempt, report);
+    } else {
+        if (!attempt.observed) {
+            const bool counted = wanted && countsAgainstUpstream;
+            observe(now, attempt, counted ? classifyEnd(report.end) : OutcomeKind::Abandoned, report.newConnection);
+        }
+        if (wanted) {
+            onUnansweredEnd(now, request, report);
+        }
+    }
+    finishIfDone(attempt.request);
+    if (service != nullptr) {
+        drainQueue(now, *service);
+        m_services.reportIfDue(now, *service);
+    }
+}
+
+void RequestFlow::settleSuspect(TimePoint now, const ActiveRequest &request, const Attempt &attempt, AttemptEnd end, bool complete)
+{
+    ServiceState *service = m_services.find(attempt.service);
+    if (service == nullptr) {
+        return;
+    }
+    const std::uint64_t fingerprint = request.prepared.request.fingerprint;
+    if (complete) {
+        if (const auto cleared = service->suspects.onComplete(now, fingerprint)) {
+            m_services.shareSuspects(*service, {*cleared});
+        }
+    } else if (attempt.suspectTrial && end != AttemptEnd::Reset) {
+        service->suspects.endTrial(fingerprint);
+    }
+}
+
+void RequestFlow::onRelayedEnd(TimePoint now, ActiveRequest &request, Attempt &attempt, const AttemptReport &report)
+{
+    const bool complete = report.end == AttemptEnd::Complete;
+    const bool shortBody = complete && isShortBody(request.operation().wrongAnswer, request.relayedHead, report);
+    if (shortBody || (!complete && report.end != AttemptEnd::Cancelled)) {
+        // The head was counted as a success; the fault of the body is a further observation.
+        observe(now, attempt, shortBody ? OutcomeKind::ShortBody : classifyEnd(report.end), report.newConnection);
+    }
+    RunReport run;
+    if (complete) {
+        run.end = RunEnd::Completed;
+        const bool whole = report.storedBody.size() == report.answerBytes;
+        run.answer = {request.relayedHead.status, request.relayedHead.contentType, report.storedBody, whole};
+    }
+    reportKey(now, request, std::move(run));
+    request.answered = true;
+}
+
+void RequestFlow::onUnansweredEnd(TimePoint now, ActiveRequest &request, const AttemptReport &report)
+{
+    const bool provenNotRun = report.end == AttemptEnd::ConnectFailed;
+    const bool idempotent = request.operation().idempotent;
+    request.mayHaveRun = request.mayHaveRun || !provenNotRun;
+    if (request.relaying || !request.running.empty() || request.queued) {
+        return;
+    }
+    if (!idempotent && !provenNotRun) {
+        reportKey(now, request, {RunEnd::Unknown, {}});
+        refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AnswerLost, false, std::nullopt, "the upstream's answer was lost; ask for the outcome of the key"});
+        return;
+    }
+    if (request.callerGone || request.answered) {
+        if (provenNotRun) {
+            reportKey(now, request, {RunEnd::NotRunOpen, {}});
+        }
+        request.answered = true;
+        return;
+    }
+    if (retry(now, request, provenNotRun)) {
+        return;
+    }
+    refuseActive(now, request, {badGateway, Disposition::NotRun, RefusalStage::AttemptsExhausted, true, std::nullopt, "no attempt at an upstream succeeded"});
+}
+
+bool RequestFlow::onCrash(TimePoint now, const Attempt &attempt, ServiceState &service)
+{
+    // All attempts that were open when the upstream crashed report a reset; they are one crash.
+    const auto last = service.lastCrash.find(attempt.upstream);
+    if (last != service.lastCrash.end() && attempt.started <= last->second) {
+        return true;
+    }
+    service.lastCrash[attempt.upstream] = now;
+    std::vector<idempotency::InFlightRequest> inFlight;
+    for (const auto &[id, other] : m_attempts) {
+        if (other.upstream == attempt.upstream) {
+            const CallerRequest &request = find(other.request)->prepared.request;
+            inFlight.push_back({request.fingerprint, stableHash(request.organisation)});
+        }
+    }
+    const idempotency::CrashAttribution attribution = service.suspects.onCrash(now, attempt.upstream, inFlight);
+    m_services.shareSuspects(service, attribution.reports);
+    if (!attribution.countsAgainstUpstream) {
+        m_outbox.log({"suspect", attempt.request, service.policy->customer, attempt.upstream.value, "not counted", "a crash suspect was in flight", ""});
+    }
+    return attribution.countsAgainstUpstream;
+}
+
+void RequestFlow::onCallerGone(TimePoint now, RequestId id)
+{
+    ActiveRequest *request = find(id);
+    if (request == nullptr || request->callerGone) {
+        return;
+    }
+    request->callerGone = true;
+    if (request->queued) {
+        ServiceState *service = m_services.find(request->prepared.service->id);
+        service->queue.remove(id);
+        request->queued = false;
+        if (!request->mayHaveRun) {
+            reportKey(now, *request, {RunEnd::NotRunOpen, {}});
+        }
+        request->answered = true;
+    } else if (request->operation().idempotent) {
+        abandonOthers(*request, 0);
+        request->answered = true;
+    }
+    finishIfDone(id);
+}
+
+void RequestFlow::checkDeadline(TimePoint now, ActiveRequest &request)
+{
+    if (request.relaying || request.answered || now < request.prepared.deadline || request.queued) {
+        return;
+    }
+    if (request.operation().idempotent) {
+        abandonOthers(request, 0);
+        refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AttemptsExhausted, true, std::nullopt, "no answer within the deadline"});
+        return;
+    }
+    // The attempt goes on, so that a later question can be answered with the outcome.
+    refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AnswerLost, false, std::nullopt, "still running at the deadline; ask for the outcome of the key"});
+    request.callerGone = true;
+}
+
+void RequestFlow::hedge(TimePoint now, ActiveRequest &request)
+{
+    const contract::OperationPolicy &operation = request.operation();
+    const bool wanted = operation.idempotent && operation.hedgeDelay && !request.relaying && !request.answered && !request.queued
+        && request.running.size() == 1 && request.attemptsStarted < operation.maximumAttempts;
+    if (!wanted || now - m_attempts.at(request.running.front()).started < *operation.hedgeDelay) {
+        return;
+    }
+    ServiceState *service = m_services.find(request.prepared.service->id);
+    if (service != nullptr && anyFreeSlot(now, *service) && service->retries.tryRetry()) {
+        tryDispatch(now, request, true);
+    }
+}
+
+void RequestFlow::onTick(TimePoint now)
+{
+    std::vector<RequestId> ids;
+    ids.reserve(m_requests.size());
+    for (auto &[id, request] : m_requests) {
+        checkDeadline(now, request);
+        hedge(now, request);
+        ids.push_back(id);
+    }
+    for (const auto &[id, service] : m_services.services()) {
+        for (const RequestId expired : service->queue.takeExpired(now)) {
+            ActiveRequest *request = find(expired);
+            request->queued = false;
+            refuseActive(now, *request, {serviceUnavailable, Disposition::NotRun, RefusalStage::DeadlineTooShort, true, std::nullopt, "no slot became free within the deadline"});
+        }
+        drainQueue(now, *service);
+    }
+    for (const RequestId id : ids) {
+        finishIfDone(id);
+    }
+}
+
+} // namespace jackdawdoor::core
--- /dev/null
+++ b/src/core/servicecoordinator.h
@@ -0,0 +1,42 @@
+/** What the coordinator of one service keeps: slot leases and the fleet's judgement of upstreams. */
+#pragma once
+
+#include "configuration/customerhistory.h"
+#include "core/peermessage.h"
+#include "health/fleethealth.h"
+#include "limits/slotledger.h"
+
+#include <cstdint>
+
+namespace jackdawdoor::core {
+
+/** Coordinator of one service. Exists only while placement ranks this instance first for the service. */
+class ServiceCoordinator
+{
+public:
+    ServiceCoordinator(TimePoint now, configuration::PolicyPointer customer, const contract::ServicePolicy &policy, std::uint64_t version);
+
+    /** Continues with a later version of the contract. */
+    void adopt(TimePoint now, configuration::PolicyPointer customer, const contract::ServicePolicy &policy, std::uint64_t version);
+
+    /** Books a holder's report and returns its grant with all current verdicts. */
+    ServiceUpdate onReport(TimePoint now, const InstanceRef &from, const ServiceReport &report);
+
+    /** Drops expired leases; follows the fleet's visibility. */
+    void onTick(TimePoint now, int listed, int visible);
+
+    std::uint64_t policyVersion() const;
+
+    /** Note of the latest judgement when the healthy floor kept upstreams that the evidence would eject. */
+    const std::optional<health::FloorBound> &floorBound() const;
+
+    const limits::SlotLedger &ledger() const;
+
+private:
+    configuration::PolicyPointer m_customer; ///< keeps the policy alive
+    std::uint64_t m_version;
+    limits::SlotLedger m_ledger;
+    health::FleetHealth m_health;
+};
+
+} // namespace jackdawdoor::core
