Parse contracts and report every fault with its line

Operators need all faults of a contract at once, and a contract from the log or a peer is untrusted.

--- /dev/null
+++ b/src/contract/operationreader.cpp
@@ -0,0 +1,84 @@
+#include "contract/operationreader.h"
+
+#include "contract/schemalimits.h"
+#include "contract/uniquenames.h"
+#include "contract/units.h"
+#include "contract/valuerules.h"
+#include "contract/wronganswerreader.h"
+
+namespace jackdawdoor::contract {
+
+namespace {
+
+void readKeys(ObjectReader &reader, Operation &operation)
+{
+    const auto idempotent = reader.required("idempotent", booleanRule());
+    operation.idempotent = idempotent.value_or(false);
+    operation.keyRequired = reader.optional("keyRequired", booleanRule(), !operation.idempotent).value_or(false);
+    if (idempotent.value_or(false) && operation.keyRequired) {
+        reader.contradiction("keyRequired", "an idempotent operation needs no keys", "false, or leave the key out");
+    }
+}
+
+// A body that must be longer than it may be makes each answer wrong.
+void checkBodies(ObjectReader &reader, const Operation &operation)
+{
+    if (operation.largestAnswer != 0 && operation.wrongAnswer.minimumBodyBytes > operation.largestAnswer) {
+        reader.contradiction("wrongAnswer",
+                             "minimumBody " + formatSize(operation.wrongAnswer.minimumBodyBytes) + " exceeds largestAnswer",
+                             "minimumBody of at most " + formatSize(operation.largestAnswer));
+    }
+}
+
+Operation readOperation(ObjectReader &reader, FaultList &faults, SourceLines &lines)
+{
+    Operation operation;
+    operation.name = reader.required("name", nameRule()).value_or("");
+    operation.method = reader.required("method", methodRule()).value_or("");
+    operation.pathPrefix = reader.required("pathPrefix", pathPrefixRule()).value_or("");
+    readKeys(reader, operation);
+    operation.usefulWithin = reader.required("usefulWithin", durationRule(minimumUsefulness, maximumUsefulness)).value_or(Duration{});
+    operation.largestRequest = reader.required("largestRequest", sizeRule(0, maximumRequestBytes)).value_or(0);
+    operation.largestAnswer = reader.required("largestAnswer", sizeRule(1, maximumAnswerBytes)).value_or(0);
+    operation.wrongAnswer = readWrongAnswer(reader, faults, lines);
+    checkBodies(reader, operation);
+    reader.finish();
+    return operation;
+}
+
+// "/orders" and "/orders/" match the same requests.
+std::string matchedRequests(const Operation &operation)
+{
+    std::string prefix = operation.pathPrefix;
+    if (prefix.size() > 1 && prefix.back() == '/') {
+        prefix.pop_back();
+    }
+    return operation.method + " " + prefix;
+}
+
+} // namespace
+
+std::vector<Operation> readOperations(ObjectReader &service, FaultList &faults, SourceLines &lines)
+{
+    std::vector<Operation> operations;
+    const auto *nodes = service.requiredList("operations", maximumOperations);
+    if (nodes == nullptr) {
+        return operations;
+    }
+    UniqueNames names("a name that no other operation of the service has");
+    UniqueNames requests("a method and path prefix that no other operation of the service has");
+    for (const DocumentNode &node : *nodes) {
+        ObjectReader reader(node, joinIndex(joinKey(service.path(), "operations"), operations.size()), faults, &lines);
+        Operation operation = readOperation(reader, faults, lines);
+        if (!operation.name.empty()) {
+            names.add(operation.name, joinKey(reader.path(), "name"), reader.find("name")->line, faults);
+        }
+        if (!operation.method.empty() && !operation.pathPrefix.empty()) {
+            requests.add(matchedRequests(operation), joinKey(reader.path(), "pathPrefix"), reader.find("pathPrefix")->line, faults);
+        }
+        operations.push_back(std::move(operation));
+    }
+    return operations;
+}
+
+} // namespace jackdawdoor::contract
