--- a/src/contract/wronganswerreader.cpp
+++ b/src/contract/wronganswerreader.cpp
@@ -9,12 +9,15 @@
 namespace {
 
 // Server errors. An upstream that sheds load with 503 and Retry-After, or 429, is recognised before this rule applies.
-const std::vector<int> defaultStatuses{500, 502, 503, 504};
+std::vector<int> defaultStatuses()
+{
+    return {500, 502, 503, 504};
+}
 
 std::vector<int> readStatuses(ObjectReader &reader, FaultList &faults)
 {
     if (reader.find("statuses") == nullptr) {
-        return defaultStatuses;
+        return defaultStatuses();
     }
     std::vector<int> statuses;
     const auto *nodes = reader.requiredList("statuses", maximumStatuses);
@@ -52,7 +55,7 @@
 WrongAnswerRule readWrongAnswer(ObjectReader &operation, FaultList &faults, SourceLines &lines)
 {
     WrongAnswerRule rule;
-    rule.statuses = defaultStatuses;
+    rule.statuses = defaultStatuses();
     const DocumentNode *node = operation.find("wrongAnswer");
     if (node == nullptr) {
         return rule;
