--- a/src/cli/checkcommand.h
+++ b/src/cli/checkcommand.h
@@ -1,11 +1,30 @@
 /** The command that checks a contract file. */
 #pragma once
 
+#include "contract/contract.h"
+
+#include <optional>
 #include <ostream>
 #include <string>
 
 namespace jackdawdoor::cli {
 
+/** Process exit codes of the commands that read a contract file. */
+enum ContractExitCode : int {
+    ContractAccepted = 0,
+    ContractFaulty = 1,
+    ContractUnreadable = 2,
+};
+
+/** A contract file that was read, or the exit code that says why it was not. */
+struct ContractFile {
+    int exitCode = ContractAccepted;
+    std::optional<contract::Contract> contract; ///< set if and only if the exit code is ContractAccepted
+};
+
+/** Reads and parses a contract file; an unreadable file and each fault are printed to `err`. */
+ContractFile readContractFile(const std::string &file, std::ostream &err);
+
 /** Checks the contract in a file. Faults go to `err`, one block for each with line, key, reason and accepted range.
  *
  * Returns the process's exit code: 0 when the contract is accepted, 1 when it has faults, 2 when the file can't be read.
