Add the membership code

Members that crash must be found within seconds without a coordination service, and one-way losses must not make members fail again and again.

--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,263 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace jackdawdoor::membership {
+
+Membership::Membership(Member self, RandomSource &random)
+    : m_random(random)
+    , m_table(self)
+{
+}
+
+MembershipMessages Membership::onPeerMessage(TimePoint now, const InstanceRef &from, const MembershipMessage &message)
+{
+    if (from == m_table.self().ref) {
+        return {};
+    }
+    // A paused process may see queued messages before its timer.
+    if (m_lastTick && now - *m_lastTick > pauseGap) {
+        notePause(now, now - *m_lastTick);
+        m_lastTick = now;
+    }
+    noteHearing(now);
+    MembershipMessages out;
+    std::visit(
+        [&](const auto &typed) {
+            mergeUpdates(now, typed.updates);
+            m_table.heardFrom(now, from);
+            answer(now, from, typed, out);
+        },
+        message);
+    m_table.publishView();
+    return out;
+}
+
+MembershipMessages Membership::onInstanceList(TimePoint now, const InstanceList &list)
+{
+    m_table.applyList(now, list);
+    m_table.publishView();
+    return {};
+}
+
+MembershipMessages Membership::beginLeave(TimePoint)
+{
+    MemberUpdate own = m_table.self();
+    own.state = MemberState::Leaving;
+    ++own.refutation;
+    m_table.setSelf(own);
+    m_table.publishView();
+    MembershipMessages out;
+    pingSome(indirectPings, out);
+    return out;
+}
+
+MembershipViewPointer Membership::view() const
+{
+    return m_table.view();
+}
+
+bool Membership::pausedUntilRefuted(TimePoint now) const
+{
+    return m_paused || (m_lastTick && now - *m_lastTick > pauseGap);
+}
+
+std::uint64_t Membership::pauses() const
+{
+    return m_pauses;
+}
+
+bool Membership::superseded() const
+{
+    return m_superseded;
+}
+
+std::string Membership::addressOf(const InstanceRef &receiver) const
+{
+    const MemberRecord *record = m_table.find(receiver.id);
+    if (record == nullptr) {
+        return {};
+    }
+    const bool earlierRun = receiver.incarnation != 0 && receiver.incarnation < record->update.ref.incarnation;
+    return earlierRun && !record->staleAddress.empty() ? record->staleAddress : record->update.address;
+}
+
+void Membership::notePause(TimePoint now, Duration gap)
+{
+    ++m_pauses;
+    m_paused = true;
+    m_firstSequenceAfterPause = m_sequence + 1;
+    m_probes.clear();
+    m_relays.clear();
+    m_suspected.reset();
+    m_failuresInRow = 0;
+    m_nextPeriod = now;
+    m_table.shiftSuspicions(gap);
+    // Others may have declared this run failed: a higher number than any rumour of it so far brings it back.
+    raiseRefutation(m_table.self().refutation);
+    if (gap <= staleAfter) {
+        m_lastHeard += gap;
+    }
+}
+
+void Membership::noteHearing(TimePoint now)
+{
+    if (m_lastTick && now - m_lastHeard > staleAfter && hasPeers()) {
+        m_rumours.clear();
+        m_table.forgetBeliefs(now);
+        m_synchronising = true;
+        m_synchronisedThrough = InstanceId{};
+        m_nextSynchronisation = now;
+        m_synchronisationEnd = now + synchronisationPatience;
+    }
+    m_lastHeard = now;
+    updateIsolation(now);
+}
+
+void Membership::updateIsolation(TimePoint now)
+{
+    const bool isolated = now - m_lastHeard > deafAfter || m_failuresInRow >= isolatedAfterFailures;
+    m_table.setIsolated(isolated);
+    if (isolated) {
+        m_rumours.clear();
+    }
+}
+
+void Membership::mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates)
+{
+    const std::size_t count = std::min(updates.size(), synchronisationPage + maximumRumours + 1);
+    for (std::size_t index = 0; index < count; ++index) {
+        const MemberUpdate &update = updates[index];
+        if (update.ref.id == m_table.self().ref.id) {
+            mergeOwn(update);
+        } else if (const auto rumour = m_table.merge(now, update)) {
+            m_rumours.add(*rumour);
+        }
+    }
+}
+
+void Membership::mergeOwn(const MemberUpdate &update)
+{
+    const MemberUpdate &own = m_table.self();
+    if (update.ref.incarnation > own.ref.incarnation) {
+        m_superseded = true;
+    }
+    if (update.ref != own.ref) {
+        return;
+    }
+    const bool doubted = update.refutation == own.refutation && update.state >= MemberState::Suspect;
+    if (doubted || update.refutation > own.refutation) {
+        raiseRefutation(update.refutation);
+    }
+}
+
+void Membership::raiseRefutation(std::uint32_t above)
+{
+    if (above == std::numeric_limits<std::uint32_t>::max()) {
+        return;
+    }
+    MemberUpdate own = m_table.self();
+    own.refutation = above + 1;
+    m_table.setSelf(own);
+}
+
+std::vector<MemberUpdate> Membership::updatesFor(const InstanceRef &receiver)
+{
+    std::vector<MemberUpdate> updates{m_table.self()};
+    std::size_t room = maximumRumours;
+    // A doubted member must hear the doubt first of all, so that it can refute.
+    const MemberRecord *record = m_table.find(receiver.id);
+    if (record != nullptr && !record->local && record->update.state >= MemberState::Suspect) {
+        updates.push_back(compactRumour(record->update));
+        --room;
+    }
+    for (MemberUpdate &rumour : m_rumours.take(room, m_table.fleetSize())) {
+        updates.push_back(std::move(rumour));
+    }
+    return updates;
+}
+
+void Membership::answer(TimePoint, const InstanceRef &from, const Ping &ping, MembershipMessages &out)
+{
+    Ack ack;
+    ack.sequence = ping.sequence;
+    ack.answered = m_table.self().ref;
+    if (ping.synchronise) {
+        appendPage(from.id, ping, ack);
+    } else {
+        ack.updates = updatesFor(from);
+    }
+    if (!ping.updates.empty() && ping.updates.front().ref == from) {
+        const MemberUpdate &sender = ping.updates.front();
+        if (const auto correction = m_table.correctionFor(sender)) {
+            ack.updates.insert(ack.updates.begin() + 1, *correction);
+            m_table.setStaleAddress(from, sender.address);
+        }
+    }
+    out.push_back({from, ack});
+}
+
+void Membership::answer(TimePoint now, const InstanceRef &from, const PingRequest &request, MembershipMessages &out)
+{
+    const std::uint64_t sequence = ++m_sequence;
+    m_relays.emplace(sequence, Relay{from, request.sequence, now});
+    out.push_back({request.target, Ping{sequence, false, {}, updatesFor(request.target)}});
+}
+
+void Membership::answer(TimePoint, const InstanceRef &, const Ack &ack, MembershipMessages &out)
+{
+    if (ack.sequence == 0 || ack.sequence > m_sequence) {
+        return;
+    }
+    m_failuresInRow = 0;
+    if (ack.sequence >= m_firstSequenceAfterPause) {
+        m_paused = false;
+    }
+    if (m_synchronising && ack.sequence == m_synchronisationSequence) {
+        takePage(ack);
+    }
+    const auto relay = m_relays.find(ack.sequence);
+    if (relay != m_relays.end()) {
+        const InstanceRef asker = relay->second.asker;
+        out.push_back({asker, Ack{relay->second.askerSequence, ack.answered, false, updatesFor(asker)}});
+        m_relays.erase(relay);
+    }
+    std::erase_if(m_probes, [&ack](const Probe &probe) {
+        return probe.sequence == ack.sequence && probe.target.id == ack.answered.id;
+    });
+}
+
+void Membership::appendPage(const InstanceId &reader, const Ping &ping, Ack &ack) const
+{
+    ack.updates.push_back(m_table.self());
+    ack.morePages = m_synchronising;
+    if (m_synchronising) {
+        return;
+    }
+    const auto &records = m_table.records();
+    for (auto item = records.upper_bound(ping.after); item != records.end(); ++item) {
+        const MemberUpdate &update = item->second.update;
+        const bool inFleet = update.state != MemberState::Joining && update.state != MemberState::Failed;
+        if (!inFleet || item->first == reader || item->first == m_table.self().ref.id || item->second.local) {
+            continue;
+        }
+        if (ack.updates.size() > synchronisationPage) {
+            ack.morePages = true;
+            return;
+        }
+        ack.updates.push_back(update);
+    }
+}
+
+void Membership::takePage(const Ack &ack)
+{
+    m_synchronising = ack.morePages;
+    // A correction of this instance's own rumour may stand where the page would, but never after it.
+    if (ack.updates.size() > 1 && ack.updates.back().ref.id != m_table.self().ref.id) {
+        m_synchronisedThrough = std::max(m_synchronisedThrough, ack.updates.back().ref.id);
+    }
+}
+
+} // namespace jackdawdoor::membership
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -30,10 +30,18 @@
 constexpr std::size_t indirectPings = 3;
 /** A gap between ticks longer than a slot lease means that this instance's leases may have lapsed unnoticed. */
 constexpr Duration pauseGap = std::chrono::seconds{2};
-/** Without any message for this long an instance takes itself for deaf and spreads no rumours about others. */
+/** Without any message for this long an instance takes itself for isolated and spreads no rumours about others. */
 constexpr Duration deafAfter = std::chrono::seconds{3};
+/** Likewise after this many failed probes in a row: more likely its own messages are lost than all those members. */
+constexpr int isolatedAfterFailures = 3;
+/** Helpers are preferably members heard from in this time, because their answers do arrive here. */
+constexpr Duration recentlyHeard = std::chrono::seconds{10};
 /** After a longer silence or pause the beliefs are too old to pass on; the instance synchronises anew. */
 constexpr Duration staleAfter = std::chrono::seconds{60};
+/** Pages of a synchronisation are this far apart. At 4,100 members it takes 20 s. */
+constexpr Duration synchronisationGap = std::chrono::milliseconds{200};
+/** A starting instance looks this long for a member that has finished its own synchronisation. */
+constexpr Duration synchronisationPatience = std::chrono::seconds{10};
 
 using MembershipMessages = std::vector<Outgoing<MembershipMessage>>;
 
@@ -78,6 +86,7 @@
         std::uint64_t sequence = 0;
         TimePoint sentAt;
         bool indirect = false; ///< the indirect pings are out
+        bool repeated = false; ///< of a member already suspected
     };
     struct Relay {
         InstanceRef asker;
@@ -85,43 +94,56 @@
         TimePoint sentAt;
     };
 
-    void noteTime(TimePoint now);
+    // membership.cpp: messages and rumours
     void notePause(TimePoint now, Duration gap);
-    bool isDeaf(TimePoint now) const;
-    void mergeUpdates(TimePoint now, const InstanceRef &from, const std::vector<MemberUpdate> &updates);
+    void noteHearing(TimePoint now);
+    void updateIsolation(TimePoint now);
+    void mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates);
     void mergeOwn(const MemberUpdate &update);
-    std::vector<MemberUpdate> updatesFor(TimePoint now, const InstanceRef &receiver);
-    Outgoing<MembershipMessage> ping(TimePoint now, const InstanceRef &target, std::uint64_t sequence);
-    MembershipMessages answer(TimePoint now, const InstanceRef &from, const Ping &ping);
-    MembershipMessages answer(TimePoint now, const InstanceRef &from, const PingRequest &request);
-    MembershipMessages answer(TimePoint now, const InstanceRef &from, const Ack &ack);
+    void raiseRefutation(std::uint32_t above);
+    std::vector<MemberUpdate> updatesFor(const InstanceRef &receiver);
+    void answer(TimePoint now, const InstanceRef &from, const Ping &ping, MembershipMessages &out);
+    void answer(TimePoint now, const InstanceRef &from, const PingRequest &request, MembershipMessages &out);
+    void answer(TimePoint now, const InstanceRef &from, const Ack &ack, MembershipMessages &out);
+    void appendPage(const InstanceId &reader, const Ping &ping, Ack &ack) const;
+    void takePage(const Ack &ack);
+
+    // membershipprobes.cpp: pings on own account
     void startPeriod(TimePoint now, MembershipMessages &out);
-    void startProbe(TimePoint now, const InstanceRef &target, bool indirectAtOnce, MembershipMessages &out);
-    void askHelpers(TimePoint now, const Probe &probe, MembershipMessages &out);
-    void concludeProbes(TimePoint now);
-    void retryUnheard(TimePoint now, MembershipMessages &out);
+    void startProbe(TimePoint now, const InstanceRef &target, MembershipMessages &out);
+    void askHelpers(Probe &probe, TimePoint now, MembershipMessages &out);
+    void concludeProbes(TimePoint now, MembershipMessages &out);
+    void pingSome(std::size_t count, MembershipMessages &out);
+    void pingOneUnheard(MembershipMessages &out);
     void synchronise(TimePoint now, MembershipMessages &out);
     std::optional<InstanceRef> nextTarget();
-    void expire(TimePoint now);
+    std::vector<InstanceRef> chooseHelpers(TimePoint now, const InstanceId &target);
+    bool hasPeers() const;
 
     RandomSource &m_random;
     MemberTable m_table;
     RumourQueue m_rumours;
-    std::vector<Probe> m_probes; ///< of the current period
-    std::map<std::uint64_t, Relay> m_relays; ///< pings sent on behalf of others, by our sequence number
+    std::vector<Probe> m_probes; ///< not answered yet
+    std::map<std::uint64_t, Relay> m_relays; ///< pings sent on behalf of others, by this instance's sequence number
     std::vector<InstanceId> m_round; ///< members still to ping in this round, in random order
+    std::optional<InstanceRef> m_suspected; ///< suspicion that this instance raised and keeps probing
     std::uint64_t m_sequence = 0;
-    std::uint64_t m_firstSequenceAfterPause = 0;
+    int m_failuresInRow = 0;
+
     std::uint64_t m_pauses = 0;
     bool m_paused = false;
+    std::uint64_t m_firstSequenceAfterPause = 0;
     bool m_superseded = false;
+
     bool m_synchronising = true;
+    std::uint64_t m_synchronisationSequence = 0;
     InstanceId m_synchronisedThrough;
     TimePoint m_nextSynchronisation;
+    TimePoint m_synchronisationEnd;
+
+    std::optional<TimePoint> m_lastTick;
     TimePoint m_nextPeriod;
     TimePoint m_lastHeard;
-    std::optional<TimePoint> m_lastTick;
-    std::optional<InstanceRef> m_suspectRaised; ///< suspicion that this instance raised and keeps probing
 };
 
 } // namespace jackdawdoor::membership
--- /dev/null
+++ b/src/membership/membershipprobes.cpp
@@ -0,0 +1,230 @@
+// The part of Membership that pings on its own account: probes, suspicion, retries and synchronisation.
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::membership {
+
+namespace {
+
+bool isLive(const MemberRecord &record)
+{
+    return record.update.state == MemberState::Live;
+}
+
+/** Moves up to `count` random elements to the front and drops the rest. */
+void sample(std::vector<InstanceRef> &candidates, std::size_t count, RandomSource &random)
+{
+    std::shuffle(candidates.begin(), candidates.end(), random);
+    candidates.resize(std::min(count, candidates.size()));
+}
+
+} // namespace
+
+MembershipMessages Membership::onTick(TimePoint now)
+{
+    if (!m_lastTick) {
+        m_nextPeriod = now;
+        m_lastHeard = now;
+        m_nextSynchronisation = now;
+        m_synchronisationEnd = now + synchronisationPatience;
+    } else if (now - *m_lastTick > pauseGap) {
+        notePause(now, now - *m_lastTick);
+    }
+    m_lastTick = now;
+    if (m_paused && !hasPeers()) {
+        m_paused = false;
+    }
+    updateIsolation(now);
+
+    MembershipMessages out;
+    concludeProbes(now, out);
+    for (const MemberUpdate &rumour : m_table.expire(now)) {
+        m_rumours.add(rumour);
+    }
+    if (now >= m_nextPeriod) {
+        m_nextPeriod = std::max(m_nextPeriod + pingPeriod, now + pingPeriod / 2);
+        startPeriod(now, out);
+    }
+    synchronise(now, out);
+    m_table.publishView();
+    return out;
+}
+
+void Membership::startPeriod(TimePoint now, MembershipMessages &out)
+{
+    std::erase_if(m_relays, [now](const auto &relay) {
+        return now - relay.second.sentAt > 2 * pingPeriod;
+    });
+    if (const auto target = nextTarget()) {
+        startProbe(now, *target, out);
+    }
+    // The one that raised a suspicion keeps asking, so that the suspect hears of it by every path.
+    if (m_suspected) {
+        const MemberRecord *record = m_table.find(m_suspected->id);
+        if (record != nullptr && record->update.ref == *m_suspected && record->update.state == MemberState::Suspect) {
+            startProbe(now, *m_suspected, out);
+            m_probes.back().repeated = true;
+            askHelpers(m_probes.back(), now, out);
+        } else {
+            m_suspected.reset();
+        }
+    }
+    if (m_paused) {
+        pingSome(indirectPings, out);
+    }
+    pingOneUnheard(out);
+}
+
+void Membership::startProbe(TimePoint now, const InstanceRef &target, MembershipMessages &out)
+{
+    const std::uint64_t sequence = ++m_sequence;
+    m_probes.push_back(Probe{target, sequence, now, false, false});
+    out.push_back({target, Ping{sequence, false, {}, updatesFor(target)}});
+}
+
+void Membership::askHelpers(Probe &probe, TimePoint now, MembershipMessages &out)
+{
+    probe.indirect = true;
+    for (const InstanceRef &helper : chooseHelpers(now, probe.target.id)) {
+        out.push_back({helper, PingRequest{probe.sequence, probe.target, updatesFor(helper)}});
+    }
+}
+
+void Membership::concludeProbes(TimePoint now, MembershipMessages &out)
+{
+    for (Probe &probe : m_probes) {
+        if (!probe.indirect && now - probe.sentAt >= ackTimeout) {
+            askHelpers(probe, now, out);
+        }
+    }
+    std::vector<Probe> failed;
+    std::erase_if(m_probes, [&failed, now](const Probe &probe) {
+        const bool over = now - probe.sentAt >= pingPeriod;
+        if (over) {
+            failed.push_back(probe);
+        }
+        return over;
+    });
+    for (const Probe &probe : failed) {
+        if (probe.repeated) {
+            continue;
+        }
+        ++m_failuresInRow;
+        updateIsolation(now);
+        if (const auto rumour = m_table.suspect(now, probe.target)) {
+            m_rumours.add(*rumour);
+            m_suspected = probe.target;
+        }
+    }
+}
+
+std::optional<InstanceRef> Membership::nextTarget()
+{
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        while (!m_round.empty()) {
+            const MemberRecord *record = m_table.find(m_round.back());
+            m_round.pop_back();
+            if (record != nullptr && (isLive(*record) || record->update.state == MemberState::Leaving)) {
+                return record->update.ref;
+            }
+        }
+        // Each round pings every member once, in a new order, which bounds the time until a failure is noticed.
+        for (const auto &[id, record] : m_table.records()) {
+            if (id != m_table.self().ref.id && (isLive(record) || record.update.state == MemberState::Leaving)) {
+                m_round.push_back(id);
+            }
+        }
+        std::shuffle(m_round.begin(), m_round.end(), m_random);
+    }
+    return std::nullopt;
+}
+
+std::vector<InstanceRef> Membership::chooseHelpers(TimePoint now, const InstanceId &target)
+{
+    std::vector<InstanceRef> recent;
+    std::vector<InstanceRef> others;
+    for (const auto &[id, record] : m_table.records()) {
+        if (id == target || id == m_table.self().ref.id || !isLive(record)) {
+            continue;
+        }
+        const bool heard = record.heardAt && now - *record.heardAt <= recentlyHeard;
+        (heard ? recent : others).push_back(record.update.ref);
+    }
+    sample(recent, indirectPings, m_random);
+    sample(others, indirectPings - recent.size(), m_random);
+    recent.insert(recent.end(), others.begin(), others.end());
+    return recent;
+}
+
+void Membership::pingSome(std::size_t count, MembershipMessages &out)
+{
+    std::vector<InstanceRef> targets;
+    for (const auto &[id, record] : m_table.records()) {
+        if (id != m_table.self().ref.id && isLive(record)) {
+            targets.push_back(record.update.ref);
+        }
+    }
+    sample(targets, count, m_random);
+    for (const InstanceRef &target : targets) {
+        const std::uint64_t sequence = ++m_sequence;
+        out.push_back({target, Ping{sequence, false, {}, updatesFor(target)}});
+    }
+}
+
+/** Listed members that were never heard and failed ones may run behind a partition that heals. */
+void Membership::pingOneUnheard(MembershipMessages &out)
+{
+    std::vector<InstanceRef> targets;
+    for (const auto &[id, record] : m_table.records()) {
+        const MemberState state = record.update.state;
+        if (id != m_table.self().ref.id && (state == MemberState::Joining || state == MemberState::Failed)) {
+            targets.push_back(InstanceRef{id, 0});
+        }
+    }
+    sample(targets, 1, m_random);
+    for (const InstanceRef &target : targets) {
+        const std::uint64_t sequence = ++m_sequence;
+        out.push_back({target, Ping{sequence, false, {}, updatesFor(target)}});
+    }
+}
+
+void Membership::synchronise(TimePoint now, MembershipMessages &out)
+{
+    if (!m_synchronising || now < m_nextSynchronisation) {
+        return;
+    }
+    if (now >= m_synchronisationEnd && m_synchronisedThrough.empty()) {
+        m_synchronising = false;
+        return;
+    }
+    m_nextSynchronisation = now + synchronisationGap;
+    std::vector<InstanceRef> live;
+    std::vector<InstanceRef> unheard;
+    for (const auto &[id, record] : m_table.records()) {
+        if (id == m_table.self().ref.id) {
+            continue;
+        }
+        if (isLive(record)) {
+            live.push_back(record.update.ref);
+        } else if (record.update.state == MemberState::Joining) {
+            unheard.push_back(InstanceRef{id, 0});
+        }
+    }
+    std::vector<InstanceRef> &targets = live.empty() ? unheard : live;
+    sample(targets, 1, m_random);
+    for (const InstanceRef &target : targets) {
+        m_synchronisationSequence = ++m_sequence;
+        out.push_back({target, Ping{m_synchronisationSequence, true, m_synchronisedThrough, updatesFor(target)}});
+    }
+}
+
+bool Membership::hasPeers() const
+{
+    return std::any_of(m_table.records().begin(), m_table.records().end(), [this](const auto &item) {
+        return item.first != m_table.self().ref.id && item.second.update.state != MemberState::Failed;
+    });
+}
+
+} // namespace jackdawdoor::membership
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -30,8 +30,9 @@
     TimePoint since; ///< time of the last change of state
     std::optional<TimePoint> heardAt; ///< last message from the member itself
     bool listed = false;
-    bool listedLeaving = false;
-    bool local = false; ///< suspected while this instance was deaf; withdrawn when the member is heard
+    /** Incarnation that was known when the list began to call the member leaving; a later one isn't meant. */
+    std::optional<Incarnation> listedLeaving;
+    bool local = false; ///< suspected while this instance was isolated; such a belief isn't passed on
     std::string staleAddress; ///< address of an earlier incarnation that still sends
 };
 
@@ -47,17 +48,20 @@
     /** Replaces the rumour about this instance itself. */
     void setSelf(const MemberUpdate &update);
 
-    /** Notes a message from the member; withdraws a local suspicion of it. */
+    /** While isolated, beliefs formed in isolation stand. Afterwards any news of the member replaces them. */
+    void setIsolated(bool isolated);
+
+    /** Notes a message from the member. */
     void heardFrom(TimePoint now, const InstanceRef &ref);
 
-    /** Suspects the member. A local suspicion is not to be passed on; otherwise returns the rumour. */
-    std::optional<MemberUpdate> suspect(TimePoint now, const InstanceRef &ref, bool local);
+    /** Suspects the member; returns the rumour, or nothing while isolated. */
+    std::optional<MemberUpdate> suspect(TimePoint now, const InstanceRef &ref);
 
     /** Turns old suspicions into failures, forgets old failures; returns rumours to pass on. */
     std::vector<MemberUpdate> expire(TimePoint now);
 
-    /** Moves all deadlines by the length of a pause. */
-    void shiftTimes(Duration gap);
+    /** Moves the deadlines of suspicions by the length of a pause, in which no refutation could be heard. */
+    void shiftSuspicions(Duration gap);
 
     /** Treats all other members as unheard, after a silence so long that the beliefs are worthless. */
     void forgetBeliefs(TimePoint now);
@@ -68,16 +72,20 @@
     const MemberRecord *find(const InstanceId &id) const;
     const std::map<InstanceId, MemberRecord> &records() const;
 
-    /** Rumour that the sender of an outdated belief about itself must hear; none when its belief is current. */
+    /** Rumour that the sender of this rumour about itself must hear because its belief is outdated. */
     std::optional<MemberUpdate> correctionFor(const MemberUpdate &own) const;
 
-    /** Members not failed, self included. */
+    /** Notes where an earlier incarnation of a known member sends from, so that it can be told. */
+    void setStaleAddress(const InstanceRef &earlier, const std::string &address);
+
+    /** Members live, leaving or suspect, self included. */
     std::size_t fleetSize() const;
 
-    /** The view, rebuilt when something changed. */
-    MembershipViewPointer view();
+    /** The current view; never null. */
+    MembershipViewPointer view() const;
 
-    void setStaleAddress(const InstanceRef &ref, const std::string &address);
+    /** Makes a new view if something changed since the last call. */
+    void publishView();
 
 private:
     struct Forgotten {
@@ -86,16 +94,21 @@
     };
     bool isForgotten(const MemberUpdate &update) const;
     void forget(TimePoint now, const MemberUpdate &update);
-    void rebuild();
+    void setState(TimePoint now, MemberRecord &record, MemberState state);
+    bool replaces(const MemberUpdate &update, const MemberRecord &record) const;
+    std::optional<MemberUpdate> mergeUnknown(TimePoint now, const MemberUpdate &update);
 
     InstanceId m_selfId;
     std::map<InstanceId, MemberRecord> m_records;
     std::map<InstanceId, Forgotten> m_forgotten;
     std::size_t m_fleetSize = 1;
+    bool m_isolated = false;
     bool m_hasList = false;
     bool m_changed = true;
-    std::uint64_t m_epoch = 0;
     MembershipViewPointer m_view;
 };
 
+/** The rumour without address and data centre where receivers don't need them. */
+MemberUpdate compactRumour(MemberUpdate update);
+
 } // namespace jackdawdoor::membership
--- /dev/null
+++ b/src/membership/membertableviews.cpp
@@ -0,0 +1,98 @@
+// The parts of MemberTable that describe it to others: views, corrections and the memory of forgotten members.
+#include "membership/membertable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::membership {
+
+namespace {
+
+/** A live member that the platform is about to stop is shown as leaving. */
+MemberState shownState(const MemberRecord &record)
+{
+    const bool leaving = record.update.state == MemberState::Live && record.listedLeaving == record.update.ref.incarnation;
+    return leaving ? MemberState::Leaving : record.update.state;
+}
+
+} // namespace
+
+std::optional<MemberUpdate> MemberTable::correctionFor(const MemberUpdate &own) const
+{
+    const auto found = m_records.find(own.ref.id);
+    if (found != m_records.end() && found->second.update.ref.incarnation != 0) {
+        const MemberRecord &record = found->second;
+        const MemberUpdate &known = record.update;
+        const bool superseded = known.ref.incarnation > own.ref.incarnation;
+        const bool doubted = known.ref == own.ref && known.refutation >= own.refutation && known.state >= MemberState::Suspect;
+        return superseded || (doubted && !record.local) ? std::optional{known} : std::nullopt;
+    }
+    const auto forgotten = m_forgotten.find(own.ref.id);
+    const bool isOutdated = forgotten != m_forgotten.end() && isForgotten(own);
+    return isOutdated ? std::optional{forgotten->second.update} : std::nullopt;
+}
+
+void MemberTable::setStaleAddress(const InstanceRef &earlier, const std::string &address)
+{
+    const auto found = m_records.find(earlier.id);
+    if (found != m_records.end() && earlier.incarnation < found->second.update.ref.incarnation) {
+        found->second.staleAddress = address;
+    }
+}
+
+bool MemberTable::isForgotten(const MemberUpdate &update) const
+{
+    const auto found = m_forgotten.find(update.ref.id);
+    if (found == m_forgotten.end()) {
+        return false;
+    }
+    const MemberUpdate &last = found->second.update;
+    return std::make_pair(update.ref.incarnation, update.refutation) <= std::make_pair(last.ref.incarnation, last.refutation);
+}
+
+void MemberTable::forget(TimePoint now, const MemberUpdate &update)
+{
+    if (update.ref.incarnation == 0) {
+        return;
+    }
+    MemberUpdate last = compactRumour(update);
+    last.state = MemberState::Failed;
+    m_forgotten.insert_or_assign(update.ref.id, Forgotten{last, now});
+    if (m_forgotten.size() > maximumForgotten) {
+        const auto oldest = std::min_element(m_forgotten.begin(), m_forgotten.end(), [](const auto &left, const auto &right) {
+            return left.second.at < right.second.at;
+        });
+        m_forgotten.erase(oldest);
+    }
+}
+
+MembershipViewPointer MemberTable::view() const
+{
+    return m_view;
+}
+
+void MemberTable::publishView()
+{
+    if (!m_changed && m_view) {
+        return;
+    }
+    m_changed = false;
+    MembershipView view;
+    view.self = self().ref;
+    view.members.reserve(m_records.size());
+    for (const auto &[id, record] : m_records) {
+        const MemberState state = shownState(record);
+        view.members.push_back(Member{record.update.ref, record.update.address, record.update.dataCentre, state});
+        const bool counted = record.listed || !m_hasList;
+        view.listed += counted ? 1 : 0;
+        view.visible += counted && (state == MemberState::Live || state == MemberState::Leaving) ? 1 : 0;
+    }
+    view.epoch = m_view ? m_view->epoch : 0;
+    if (m_view && view == *m_view) {
+        return;
+    }
+    ++view.epoch;
+    m_view = std::make_shared<const MembershipView>(std::move(view));
+}
+
+} // namespace jackdawdoor::membership
--- /dev/null
+++ b/src/membership/rumourqueue.cpp
@@ -0,0 +1,54 @@
+#include "membership/rumourqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawdoor::membership {
+
+namespace {
+
+/** Times each instance passes a rumour on. Four for each factor of ten reach everyone with a wide margin for losses. */
+int transmissions(std::size_t fleetSize)
+{
+    const double wanted = std::ceil(4.0 * std::log10(static_cast<double>(fleetSize) + 1.0));
+    return std::max(3, static_cast<int>(wanted));
+}
+
+} // namespace
+
+void RumourQueue::add(const MemberUpdate &update)
+{
+    m_entries.insert_or_assign(update.ref.id, Entry{update, 0});
+}
+
+std::vector<MemberUpdate> RumourQueue::take(std::size_t count, std::size_t fleetSize)
+{
+    std::vector<Entry *> entries;
+    entries.reserve(m_entries.size());
+    for (auto &[id, entry] : m_entries) {
+        entries.push_back(&entry);
+    }
+    const auto taken = static_cast<std::ptrdiff_t>(std::min(count, entries.size()));
+    std::partial_sort(entries.begin(), entries.begin() + taken, entries.end(), [](const Entry *left, const Entry *right) {
+        return left->sent != right->sent ? left->sent < right->sent : left->update.ref.id < right->update.ref.id;
+    });
+    entries.resize(static_cast<std::size_t>(taken));
+
+    std::vector<MemberUpdate> rumours;
+    for (Entry *entry : entries) {
+        rumours.push_back(entry->update);
+        ++entry->sent;
+    }
+    const int limit = transmissions(fleetSize);
+    std::erase_if(m_entries, [limit](const auto &item) {
+        return item.second.sent >= limit;
+    });
+    return rumours;
+}
+
+void RumourQueue::clear()
+{
+    m_entries.clear();
+}
+
+} // namespace jackdawdoor::membership
