--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -1,9 +1,5 @@
 #include "net/httpmessage.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
-#include <absl/strings/str_split.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -22,9 +18,26 @@
                                                    "transfer-encoding",
                                                    "upgrade"};
 
+/** ASCII lower case, independent of the locale. */
+char lowered(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
+std::string lowered(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), [](char character) {
+        return lowered(character);
+    });
+    return result;
+}
+
 bool isTokenCharacter(char character)
 {
-    return absl::ascii_isalnum(static_cast<unsigned char>(character)) || absl::StrContains("!#$%&'*+-.^_`|~", character);
+    const char lower = lowered(character);
+    const bool alphanumeric = (lower >= 'a' && lower <= 'z') || (lower >= '0' && lower <= '9');
+    return alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
 }
 
 bool isName(std::string_view name)
@@ -45,7 +58,7 @@
     if (digit >= '0' && digit <= '9') {
         return digit - '0';
     }
-    const char lower = absl::ascii_tolower(static_cast<unsigned char>(digit));
+    const char lower = lowered(digit);
     return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
@@ -71,10 +84,32 @@
     return target.substr(0, target.find('?'));
 }
 
+bool equalsIgnoreCase(std::string_view first, std::string_view second)
+{
+    return std::equal(first.begin(), first.end(), second.begin(), second.end(), [](char left, char right) {
+        return lowered(left) == lowered(right);
+    });
+}
+
+std::vector<std::string_view> splitTrimmed(std::string_view text, char separator)
+{
+    std::vector<std::string_view> parts;
+    for (std::size_t begin = 0; begin <= text.size();) {
+        const std::size_t end = std::min(text.find(separator, begin), text.size());
+        std::string_view part = text.substr(begin, end - begin);
+        const std::size_t first = std::min(part.find_first_not_of(" \t"), part.size());
+        part.remove_prefix(first);
+        part = part.substr(0, part.find_last_not_of(" \t") + 1);
+        parts.push_back(part);
+        begin = end + 1;
+    }
+    return parts;
+}
+
 std::string findHeader(const Headers &headers, std::string_view name)
 {
     for (const Header &header : headers) {
-        if (absl::EqualsIgnoreCase(header.name, name)) {
+        if (equalsIgnoreCase(header.name, name)) {
             return header.value;
         }
     }
@@ -84,14 +119,14 @@
 std::size_t countHeaders(const Headers &headers, std::string_view name)
 {
     return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const Header &header) {
-        return absl::EqualsIgnoreCase(header.name, name);
+        return equalsIgnoreCase(header.name, name);
     }));
 }
 
 void setHeader(Headers &headers, std::string_view name, std::string value)
 {
-    std::erase_if(headers, [&](const Header &header) {
-        return absl::EqualsIgnoreCase(header.name, name);
+    std::erase_if(headers, [name](const Header &header) {
+        return equalsIgnoreCase(header.name, name);
     });
     headers.push_back({std::string(name), std::move(value)});
 }
@@ -100,15 +135,15 @@
 {
     std::vector<std::string> named;
     for (const Header &header : headers) {
-        if (absl::EqualsIgnoreCase(header.name, "Connection")) {
-            for (std::string_view option : absl::StrSplit(header.value, ',')) {
-                named.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(option)));
+        if (equalsIgnoreCase(header.name, "Connection")) {
+            for (const std::string_view option : splitTrimmed(header.value, ',')) {
+                named.push_back(lowered(option));
             }
         }
     }
     Headers kept;
     for (const Header &header : headers) {
-        const std::string lower = absl::AsciiStrToLower(header.name);
+        const std::string lower = lowered(std::string_view(header.name));
         const bool fixed = std::find(hopByHop.begin(), hopByHop.end(), lower) != hopByHop.end();
         if (!fixed && std::find(named.begin(), named.end(), lower) == named.end()) {
             kept.push_back(header);
@@ -135,7 +170,7 @@
     if (lengths == 1 && !parseNumber(findHeader(headers, "Content-Length"))) {
         return "Content-Length is not a number";
     }
-    if (encodings == 1 && !absl::EqualsIgnoreCase(findHeader(headers, "Transfer-Encoding"), "chunked")) {
+    if (encodings == 1 && !equalsIgnoreCase(findHeader(headers, "Transfer-Encoding"), "chunked")) {
         return "Transfer-Encoding is not chunked";
     }
     return std::nullopt;
@@ -157,7 +192,7 @@
     if (question == std::string_view::npos) {
         return {};
     }
-    for (std::string_view part : absl::StrSplit(target.substr(question + 1), '&')) {
+    for (const std::string_view part : splitTrimmed(target.substr(question + 1), '&')) {
         const auto equals = part.find('=');
         if (equals != std::string_view::npos && part.substr(0, equals) == name) {
             return percentDecoded(part.substr(equals + 1));
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -41,6 +41,12 @@
     bool operator==(const AnswerStart &) const = default;
 };
 
+/** Comparison without regard to the case of ASCII letters. */
+bool equalsIgnoreCase(std::string_view first, std::string_view second);
+
+/** The parts between separators, without white space at their ends. */
+std::vector<std::string_view> splitTrimmed(std::string_view text, char separator);
+
 /** Value of the first header of that name in any case, or an empty string. */
 std::string findHeader(const Headers &headers, std::string_view name);
 
