--- a/src/core/contractcompiler.cpp
+++ b/src/core/contractcompiler.cpp
@@ -1,6 +1,6 @@
 #include "core/contractcompiler.h"
 
-#include "contract/derivepolicy.h"
+#include "contract/contract.h"
 #include "contract/parsecontract.h"
 
 namespace jackdawdoor::core {
--- a/src/core/instance.cpp
+++ b/src/core/instance.cpp
@@ -15,6 +15,19 @@
     return CustomerId{service.value.substr(0, service.value.find('/'))};
 }
 
+std::string verdictName(configuration::Verdict verdict)
+{
+    switch (verdict) {
+    case configuration::Verdict::Accepted:
+        return "accepted";
+    case configuration::Verdict::LostRace:
+        return "lost-race";
+    case configuration::Verdict::Invalid:
+        return "invalid";
+    }
+    return "unknown";
+}
+
 Refusal stoppingRefusal()
 {
     return {503, Disposition::NotRun, RefusalStage::Stopping, true, Duration{0}, "the instance is stopping; use another address"};
@@ -81,7 +94,12 @@
     prepared.customer = m_configuration.policyOf(customerOf(request.service));
     if (!prepared.customer) {
         const bool ready = m_configuration.ready();
-        return Refusal{ready ? 404 : 503, Disposition::NotRun, RefusalStage::NoContract, !ready, std::nullopt, "no contract of this customer is in force here"};
+        return Refusal{ready ? 404 : 503,
+                       Disposition::NotRun,
+                       RefusalStage::NoContract,
+                       !ready,
+                       std::nullopt,
+                       "no contract of this customer is in force here"};
     }
     prepared.service = prepared.customer->findService(request.service);
     prepared.operation = prepared.service == nullptr ? nullptr : matchOperation(*prepared.service, request.method, request.path);
@@ -89,12 +107,15 @@
         return Refusal{404, Disposition::NotRun, RefusalStage::NoOperation, false, std::nullopt, "the contract has no such operation"};
     }
     if (request.bodyBytes > prepared.operation->maximumRequestBytes) {
-        return Refusal{413, Disposition::NotRun, RefusalStage::TooLarge, false, std::nullopt, "the body is larger than the contract allows"};
+        return Refusal{
+            413, Disposition::NotRun, RefusalStage::TooLarge, false, std::nullopt, "the body is larger than the contract allows"};
     }
-    const Duration allowed = request.deadline > Duration{0} ? std::min(request.deadline, prepared.operation->deadline) : prepared.operation->deadline;
+    const Duration allowed =
+        request.deadline > Duration{0} ? std::min(request.deadline, prepared.operation->deadline) : prepared.operation->deadline;
     prepared.deadline = now + allowed;
     if (m_membership.superseded()) {
-        return Refusal{503, Disposition::NotRun, RefusalStage::Stopping, true, Duration{0}, "a later process of this instance has taken over"};
+        return Refusal{
+            503, Disposition::NotRun, RefusalStage::Stopping, true, Duration{0}, "a later process of this instance has taken over"};
     }
     return refuseNonIdempotent(now, prepared);
 }
@@ -109,10 +130,20 @@
         return std::nullopt;
     }
     if (!hasKey && prepared.operation->keyRequired) {
-        return Refusal{428, Disposition::NotRun, RefusalStage::KeyRequired, false, std::nullopt, "send an Idempotency-Key made from the ticket of a placement answer"};
+        return Refusal{428,
+                       Disposition::NotRun,
+                       RefusalStage::KeyRequired,
+                       false,
+                       std::nullopt,
+                       "send an Idempotency-Key made from the ticket of a placement answer"};
     }
     if (m_membership.pausedUntilRefuted(now)) {
-        return Refusal{503, Disposition::NotRun, RefusalStage::Stopping, true, Duration{0}, "the instance was paused and is rejoining; use another address"};
+        return Refusal{503,
+                       Disposition::NotRun,
+                       RefusalStage::Stopping,
+                       true,
+                       Duration{0},
+                       "the instance was paused and is rejoining; use another address"};
     }
     return std::nullopt;
 }
@@ -195,12 +226,18 @@
                       0,
                       decision.customer,
                       decision.publishId,
-                      configuration::verdictName(decision.verdict),
+                      verdictName(decision.verdict),
                       "offset " + std::to_string(decision.offset) + ", version " + std::to_string(decision.version),
                       decision.reason});
     }
     for (const configuration::ConfigurationChange &change : step.changes) {
-        m_outbox.log({"configure", 0, change.customer, change.customer.value, "version " + std::to_string(change.version), change.policy ? "contract in force" : "contract deleted", ""});
+        m_outbox.log({"configure",
+                      0,
+                      change.customer,
+                      change.customer.value,
+                      "version " + std::to_string(change.version),
+                      change.policy ? "contract in force" : "contract deleted",
+                      ""});
         m_services.onConfigurationChanged(now, change.customer);
     }
 }
@@ -240,7 +277,12 @@
     const contract::ServicePolicy *service = policy ? policy->findService(query.service) : nullptr;
     if (service == nullptr) {
         const bool ready = m_configuration.ready();
-        reply.refusal = Refusal{ready ? 404 : 503, Disposition::NotRun, RefusalStage::NoContract, !ready, std::nullopt, "no contract in force has this service"};
+        reply.refusal = Refusal{ready ? 404 : 503,
+                                Disposition::NotRun,
+                                RefusalStage::NoContract,
+                                !ready,
+                                std::nullopt,
+                                "no contract in force has this service"};
         reply.decision.choice = "none";
         reply.decision.reason = reply.refusal->reason;
         return reply;
--- a/src/core/instancestatus.cpp
+++ b/src/core/instancestatus.cpp
@@ -24,7 +24,8 @@
     status.retryBalance = service.retries.balance();
     for (const contract::UpstreamPolicy &upstream : service.policy->upstreams) {
         const health::UpstreamState state = service.health.stateOf(now, upstream.id);
-        status.upstreams.push_back({upstream.id, state.standing, state.severity, service.slots.freeSlots(now, upstream.id), service.slots.inUse(upstream.id)});
+        status.upstreams.push_back(
+            {upstream.id, state.standing, state.severity, service.slots.freeSlots(now, upstream.id), service.slots.inUse(upstream.id)});
     }
     return status;
 }
--- a/src/core/keyflow.cpp
+++ b/src/core/keyflow.cpp
@@ -16,11 +16,11 @@
 constexpr Duration forwardMemory = std::chrono::minutes{1};
 constexpr int badRequest = 400;
 
-template<typename... Handlers>
+template <typename... Handlers>
 struct Overloaded : Handlers... {
     using Handlers::operator()...;
 };
-template<typename... Handlers>
+template <typename... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 const IdempotencyKey *keyOf(const IdempotencyMessage &message)
@@ -95,8 +95,7 @@
                    [&](const RefuseKey &refuse) {
                        m_requests.refuse(now, prepared, refusalFor(refuse));
                    },
-                   [](const ForwardToHome &) {
-                   },
+                   [](const ForwardToHome &) {},
                },
                decision);
 }
@@ -138,7 +137,8 @@
             onRequest(now, std::move(waiting));
         } else {
             const bool notRun = report.end == RunEnd::NotRunClosed;
-            const RefuseKey refuse{notRun ? KeyRefusal::Closed : KeyRefusal::OutcomeUnknown, notRun ? Certainty::NotRun : Certainty::Unknown};
+            const RefuseKey refuse{notRun ? KeyRefusal::Closed : KeyRefusal::OutcomeUnknown,
+                                   notRun ? Certainty::NotRun : Certainty::Unknown};
             m_requests.refuse(now, waiting, refusalFor(refuse));
         }
     }
@@ -240,7 +240,8 @@
     prepared.deadline = now;
     const auto key = IdempotencyKey::decodeFromCaller(text, m_authenticate);
     if (!key) {
-        m_requests.refuse(now, prepared, {badRequest, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, key.error().reason});
+        m_requests.refuse(
+            now, prepared, {badRequest, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, key.error().reason});
         return;
     }
     prepared.request.service = key.value().ticket.service;
@@ -266,8 +267,8 @@
 {
     const IdempotencyKey *key = keyOf(message);
     const bool forHome = std::holds_alternative<Recorded>(message) || std::holds_alternative<Refused>(message)
-        || std::holds_alternative<HandoverConfirmed>(message) || std::holds_alternative<Reply>(message)
-        || (std::holds_alternative<Query>(message) && !m_witness.keyIsMine(*key));
+                         || std::holds_alternative<HandoverConfirmed>(message) || std::holds_alternative<Reply>(message)
+                         || (std::holds_alternative<Query>(message) && !m_witness.keyIsMine(*key));
     if (forHome) {
         applyStep(now, m_home.onMessage(now, from, message));
     } else {
--- a/src/core/keyrefusal.cpp
+++ b/src/core/keyrefusal.cpp
@@ -18,17 +18,43 @@
     case KeyRefusal::Closed:
         return {conflict, Disposition::Unknown, RefusalStage::KeyClosed, false, std::nullopt, "the key was closed; ask for a new ticket"};
     case KeyRefusal::TableFull:
-        return {serviceUnavailable, Disposition::Unknown, RefusalStage::KeyTableFull, true, std::nullopt, "too many keys are open; ask for a new ticket"};
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::KeyTableFull,
+                true,
+                std::nullopt,
+                "too many keys are open; ask for a new ticket"};
     case KeyRefusal::WitnessUnreachable:
-        return {serviceUnavailable, Disposition::Unknown, RefusalStage::WitnessUnreachable, true, std::nullopt, "the witness did not confirm the key; ask for a new ticket"};
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::WitnessUnreachable,
+                true,
+                std::nullopt,
+                "the witness did not confirm the key; ask for a new ticket"};
     case KeyRefusal::WitnessRefused:
-        return {serviceUnavailable, Disposition::Unknown, RefusalStage::WitnessUnreachable, true, std::nullopt, "the witness refused the key; ask for a new ticket"};
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::WitnessUnreachable,
+                true,
+                std::nullopt,
+                "the witness refused the key; ask for a new ticket"};
     case KeyRefusal::Stopping:
-        return {serviceUnavailable, Disposition::Unknown, RefusalStage::Stopping, true, std::nullopt, "the instance is stopping; ask for a new ticket"};
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::Stopping,
+                true,
+                std::nullopt,
+                "the instance is stopping; ask for a new ticket"};
     case KeyRefusal::OutcomeUnknown:
-        return {gatewayTimeout, Disposition::Unknown, RefusalStage::AnswerLost, false, std::nullopt, "the request may have run and will not be run again"};
+        return {gatewayTimeout,
+                Disposition::Unknown,
+                RefusalStage::AnswerLost,
+                false,
+                std::nullopt,
+                "the request may have run and will not be run again"};
     case KeyRefusal::KeyReused:
-        return {conflict, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, "the key was used before for another request"};
+        return {
+            conflict, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, "the key was used before for another request"};
     }
     return {};
 }
@@ -48,15 +74,30 @@
     using idempotency::OutcomeKind;
     switch (outcome.kind) {
     case OutcomeKind::NotRun:
-        return {conflict, Disposition::NotRun, RefusalStage::KeyClosed, false, std::nullopt, "the request did not run and never will under this key"};
+        return {conflict,
+                Disposition::NotRun,
+                RefusalStage::KeyClosed,
+                false,
+                std::nullopt,
+                "the request did not run and never will under this key"};
     case OutcomeKind::InProgress:
-        return {serviceUnavailable, Disposition::Unknown, RefusalStage::AnswerLost, true, std::nullopt, "the request is in progress; ask again"};
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::AnswerLost,
+                true,
+                std::nullopt,
+                "the request is in progress; ask again"};
     case OutcomeKind::Completed:
     case OutcomeKind::Unknown:
     case OutcomeKind::NotResponsible:
         break;
     }
-    return {gatewayTimeout, Disposition::Unknown, RefusalStage::HomeUnreachable, false, std::nullopt, "neither home nor witness knows the outcome; the request may have run"};
+    return {gatewayTimeout,
+            Disposition::Unknown,
+            RefusalStage::HomeUnreachable,
+            false,
+            std::nullopt,
+            "neither home nor witness knows the outcome; the request may have run"};
 }
 
 } // namespace jackdawdoor::core
--- a/src/core/outbox.h
+++ b/src/core/outbox.h
@@ -30,7 +30,7 @@
     void send(const InstanceRef &to, PeerMessage message);
 
     /** Sends the messages of a module. */
-    template<typename Message>
+    template <typename Message>
     void sendAll(const std::vector<Outgoing<Message>> &messages)
     {
         for (const auto &outgoing : messages) {
--- a/src/core/peermessage.cpp
+++ b/src/core/peermessage.cpp
@@ -27,7 +27,7 @@
     out = json::array({notice.service.value, notice.report});
 }
 
-template<typename... Parts>
+template <typename... Parts>
 void encodePayload(json &out, const std::variant<Parts...> &message)
 {
     json payload;
@@ -57,13 +57,16 @@
     in.at(1).get_to(notice.report);
 }
 
-template<typename Part>
+template <typename Part>
 void decodePayload(const json &in, Part &part)
 {
     in.get_to(part);
 }
 
-template<typename Variant, std::size_t Index = 0>
+template <typename... Parts>
+void decodePayload(const json &in, std::variant<Parts...> &message);
+
+template <typename Variant, std::size_t Index = 0>
 Variant decodeAlternative(std::size_t index, const json &in)
 {
     if constexpr (Index < std::variant_size_v<Variant>) {
@@ -78,7 +81,7 @@
     }
 }
 
-template<typename... Parts>
+template <typename... Parts>
 void decodePayload(const json &in, std::variant<Parts...> &message)
 {
     message = decodeAlternative<std::variant<Parts...>>(in.at(0).get<std::size_t>(), in.at(1));
--- a/src/core/requestflow.cpp
+++ b/src/core/requestflow.cpp
@@ -44,7 +44,8 @@
     ++m_counts.admitted;
     ServiceState *service = m_services.use(now, request.prepared.service->id);
     if (service == nullptr) {
-        refuseActive(now, request, {404, Disposition::NotRun, RefusalStage::NoContract, false, std::nullopt, "the service is not in force"});
+        refuseActive(
+            now, request, {404, Disposition::NotRun, RefusalStage::NoContract, false, std::nullopt, "the service is not in force"});
         finishIfDone(id);
         return;
     }
@@ -86,7 +87,14 @@
         service->slots.release(now, upstream);
         // The key's table has the outcome; this place does not know why it forbids the dispatch.
         request.mayHaveRun = true;
-        refuseActive(now, request, {409, Disposition::Unknown, RefusalStage::KeyClosed, false, std::nullopt, "the key may not be dispatched; ask for its outcome"});
+        refuseActive(now,
+                     request,
+                     {409,
+                      Disposition::Unknown,
+                      RefusalStage::KeyClosed,
+                      false,
+                      std::nullopt,
+                      "the key may not be dispatched; ask for its outcome"});
         return Dispatch::Given;
     }
     startAttempt(now, request, *service, decision, upstream, paidByRetryBudget);
@@ -195,7 +203,14 @@
     if (result.displaced) {
         ActiveRequest *displaced = find(*result.displaced);
         displaced->queued = false;
-        refuseActive(now, *displaced, {503, Disposition::NotRun, RefusalStage::QueueFull, true, std::nullopt, "displaced by an organisation with fewer requests waiting"});
+        refuseActive(now,
+                     *displaced,
+                     {503,
+                      Disposition::NotRun,
+                      RefusalStage::QueueFull,
+                      true,
+                      std::nullopt,
+                      "displaced by an organisation with fewer requests waiting"});
         finishIfDone(*result.displaced);
     }
     if (result.admission == limits::QueueAdmission::Admitted) {
--- a/src/core/requestflowanswers.cpp
+++ b/src/core/requestflowanswers.cpp
@@ -125,9 +125,23 @@
     }
     std::erase(request.running, attempt.id);
     if (shed) {
-        refuseActive(now, request, {serviceUnavailable, Disposition::NotRun, RefusalStage::NoUpstream, true, std::nullopt, "upstreams shed the request before running it"});
+        refuseActive(now,
+                     request,
+                     {serviceUnavailable,
+                      Disposition::NotRun,
+                      RefusalStage::NoUpstream,
+                      true,
+                      std::nullopt,
+                      "upstreams shed the request before running it"});
     } else {
-        refuseActive(now, request, {badGateway, Disposition::Unknown, RefusalStage::AttemptsExhausted, idempotent, std::nullopt, "the upstream's answer breaks the contract"});
+        refuseActive(now,
+                     request,
+                     {badGateway,
+                      Disposition::Unknown,
+                      RefusalStage::AttemptsExhausted,
+                      idempotent,
+                      std::nullopt,
+                      "the upstream's answer breaks the contract"});
     }
     request.running.push_back(attempt.id);
 }
@@ -136,7 +150,7 @@
 {
     ServiceState *service = m_services.find(request.prepared.service->id);
     const bool useless = request.callerGone || request.answered || now >= request.prepared.deadline
-        || request.attemptsStarted >= request.operation().maximumAttempts;
+                         || request.attemptsStarted >= request.operation().maximumAttempts;
     if (useless || service == nullptr || !service->retries.tryRetry()) {
         return false;
     }
@@ -237,7 +251,14 @@
     }
     if (!idempotent && !provenNotRun) {
         reportKey(now, request, {RunEnd::Unknown, {}});
-        refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AnswerLost, false, std::nullopt, "the upstream's answer was lost; ask for the outcome of the key"});
+        refuseActive(now,
+                     request,
+                     {gatewayTimeout,
+                      Disposition::Unknown,
+                      RefusalStage::AnswerLost,
+                      false,
+                      std::nullopt,
+                      "the upstream's answer was lost; ask for the outcome of the key"});
         return;
     }
     if (request.callerGone || request.answered) {
@@ -250,7 +271,10 @@
     if (retry(now, request, provenNotRun)) {
         return;
     }
-    refuseActive(now, request, {badGateway, Disposition::NotRun, RefusalStage::AttemptsExhausted, true, std::nullopt, "no attempt at an upstream succeeded"});
+    refuseActive(
+        now,
+        request,
+        {badGateway, Disposition::NotRun, RefusalStage::AttemptsExhausted, true, std::nullopt, "no attempt at an upstream succeeded"});
 }
 
 bool RequestFlow::onCrash(TimePoint now, const Attempt &attempt, ServiceState &service)
@@ -271,7 +295,13 @@
     const idempotency::CrashAttribution attribution = service.suspects.onCrash(now, attempt.upstream, inFlight);
     m_services.shareSuspects(service, attribution.reports);
     if (!attribution.countsAgainstUpstream) {
-        m_outbox.log({"suspect", attempt.request, service.policy->customer, attempt.upstream.value, "not counted", "a crash suspect was in flight", ""});
+        m_outbox.log({"suspect",
+                      attempt.request,
+                      service.policy->customer,
+                      attempt.upstream.value,
+                      "not counted",
+                      "a crash suspect was in flight",
+                      ""});
     }
     return attribution.countsAgainstUpstream;
 }
@@ -305,11 +335,21 @@
     }
     if (request.operation().idempotent) {
         abandonOthers(request, 0);
-        refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AttemptsExhausted, true, std::nullopt, "no answer within the deadline"});
+        refuseActive(
+            now,
+            request,
+            {gatewayTimeout, Disposition::Unknown, RefusalStage::AttemptsExhausted, true, std::nullopt, "no answer within the deadline"});
         return;
     }
     // The attempt goes on, so that a later question can be answered with the outcome.
-    refuseActive(now, request, {gatewayTimeout, Disposition::Unknown, RefusalStage::AnswerLost, false, std::nullopt, "still running at the deadline; ask for the outcome of the key"});
+    refuseActive(now,
+                 request,
+                 {gatewayTimeout,
+                  Disposition::Unknown,
+                  RefusalStage::AnswerLost,
+                  false,
+                  std::nullopt,
+                  "still running at the deadline; ask for the outcome of the key"});
     request.callerGone = true;
 }
 
@@ -317,7 +357,7 @@
 {
     const contract::OperationPolicy &operation = request.operation();
     const bool wanted = operation.idempotent && operation.hedgeDelay && !request.relaying && !request.answered && !request.queued
-        && request.running.size() == 1 && request.attemptsStarted < operation.maximumAttempts;
+                        && request.running.size() == 1 && request.attemptsStarted < operation.maximumAttempts;
     if (!wanted || now - m_attempts.at(request.running.front()).started < *operation.hedgeDelay) {
         return;
     }
@@ -340,7 +380,14 @@
         for (const RequestId expired : service->queue.takeExpired(now)) {
             ActiveRequest *request = find(expired);
             request->queued = false;
-            refuseActive(now, *request, {serviceUnavailable, Disposition::NotRun, RefusalStage::DeadlineTooShort, true, std::nullopt, "no slot became free within the deadline"});
+            refuseActive(now,
+                         *request,
+                         {serviceUnavailable,
+                          Disposition::NotRun,
+                          RefusalStage::DeadlineTooShort,
+                          true,
+                          std::nullopt,
+                          "no slot became free within the deadline"});
         }
         drainQueue(now, *service);
     }
--- a/src/core/servicestate.h
+++ b/src/core/servicestate.h
@@ -18,7 +18,10 @@
 
 /** Health, limits and queue of one service on this instance. */
 struct ServiceState {
-    ServiceState(configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version, const InstanceId &self);
+    ServiceState(configuration::PolicyPointer customerPolicy,
+                 const contract::ServicePolicy &servicePolicy,
+                 std::uint64_t version,
+                 const InstanceId &self);
 
     /** Continues with a later version of the contract; evidence starts anew only where the service itself changed. */
     void adopt(configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version);
