Add the configuration code

Versions must be the same on all instances, survive retention and the loss of any instance, and spread without the log. One rule in CustomerHistory decides; the table tracks the window of the log that was read, so that a reader with a gap is undecided rather than wrong.

--- /dev/null
+++ b/src/configuration/configuration.cpp
@@ -0,0 +1,293 @@
+#include "configuration/configuration.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace jackdawdoor::configuration {
+
+using membership::Member;
+using membership::MembershipView;
+
+Configuration::Configuration(InstanceRef self, ContractCompiler compile, RandomSource &random)
+    : m_self(std::move(self))
+    , m_random(random)
+    , m_table(std::move(compile))
+    , m_reader(m_self.id, random)
+    , m_scheduler(m_self.id)
+{
+}
+
+ConfigurationStep Configuration::onTick(TimePoint now, const MembershipView &view)
+{
+    if (view.epoch != m_peersEpoch) {
+        m_peersEpoch = view.epoch;
+        m_peers.clear();
+        for (const Member *member : view.live()) {
+            if (member->ref.id != m_self.id) {
+                m_peers.push_back(member->ref);
+            }
+        }
+    }
+    ConfigurationStep step;
+    step.read = m_reader.onTick(now, view, m_table.next(), m_table.completeAsOf() > 0);
+    if (m_reader.isCurrent(now)) {
+        if (const auto record = m_scheduler.onTick(now, view, m_table, m_retention)) {
+            step.append.push_back(encodeRecord(*record));
+        }
+    }
+    if (!m_peers.empty() && (!m_nextDigest || now >= *m_nextDigest)) {
+        m_nextDigest = now + digestPeriod;
+        const std::size_t chosen = std::uniform_int_distribution<std::size_t>{0, m_peers.size() - 1}(m_random);
+        step.messages.push_back({m_peers[chosen], ownDigest(now)});
+        std::erase_if(m_requested, [now](const auto &request) {
+            return now - request.second >= requestRetry;
+        });
+    }
+    return step;
+}
+
+ConfigurationStep Configuration::onLogPage(TimePoint now, const LogPage &page)
+{
+    ConfigurationStep step;
+    m_retention = page.retention;
+    m_reader.onPage(now, page);
+    step.decisions = m_table.applyPage(now, page);
+    finish(now, step);
+    return step;
+}
+
+ConfigurationStep Configuration::onLogFailed(TimePoint now)
+{
+    m_reader.onFailed(now);
+    return {};
+}
+
+ConfigurationStep Configuration::onPeerMessage(TimePoint now, const InstanceRef &from, const ConfigurationMessage &message)
+{
+    ConfigurationStep step;
+    std::visit(
+        [&](const auto &typed) {
+            answer(now, from, typed, step);
+        },
+        message);
+    finish(now, step);
+    return step;
+}
+
+Digest Configuration::ownDigest(TimePoint now) const
+{
+    Digest digest{m_table.digest(), m_table.completeAsOf(), std::nullopt, Duration{}};
+    if (const auto &cycleEnd = m_table.cycleEnd()) {
+        digest.cycleEnd = cycleEnd->offset;
+        digest.cycleEndAge = std::chrono::duration_cast<Duration>(now - cycleEnd->time);
+    }
+    return digest;
+}
+
+void Configuration::answer(TimePoint now, const InstanceRef &from, const Digest &digest, ConfigurationStep &step)
+{
+    if (digest.cycleEnd) {
+        m_table.mergeCycleEnd(Anchor{*digest.cycleEnd, now - digest.cycleEndAge});
+    }
+    if (digest.hash != m_table.digest()) {
+        step.messages.push_back({from, BucketDigest{m_table.bucketHashes()}});
+        return;
+    }
+    if (digest.completeAsOf > 0) {
+        step.decisions = m_table.adoptComplete(digest.completeAsOf);
+    }
+    // The sender, which may be without the log, can adopt what is known here; then it knows as much and is silent.
+    const Digest own = ownDigest(now);
+    if (own.completeAsOf > digest.completeAsOf) {
+        step.messages.push_back({from, own});
+    }
+}
+
+void Configuration::answer(TimePoint now, const InstanceRef &from, const BucketDigest &digest, ConfigurationStep &step)
+{
+    const std::vector<std::uint64_t> own = m_table.bucketHashes();
+    std::vector<std::uint32_t> buckets;
+    for (std::size_t count = 0; count < digestBuckets; ++count) {
+        const std::size_t bucket = (m_firstBucket + count) % digestBuckets;
+        if (digest.hashes.size() == digestBuckets && digest.hashes[bucket] != own[bucket]) {
+            buckets.push_back(static_cast<std::uint32_t>(bucket));
+        }
+    }
+    m_firstBucket = (m_firstBucket + 1) % digestBuckets;
+    if (!buckets.empty()) {
+        step.messages.push_back({from, summariesOf(now, std::move(buckets))});
+    }
+}
+
+/** Summaries of the first of these buckets that fit into one message, at least of one. */
+Summaries Configuration::summariesOf(TimePoint now, std::vector<std::uint32_t> buckets)
+{
+    std::map<std::uint32_t, std::vector<Summary>> byBucket;
+    for (const auto &[customer, version] : m_table.versions()) {
+        byBucket[static_cast<std::uint32_t>(VersionTable::bucketOf(customer))].push_back(*m_table.summaryOf(now, customer));
+    }
+    Summaries summaries;
+    for (const std::uint32_t bucket : buckets) {
+        std::vector<Summary> &inBucket = byBucket[bucket];
+        const std::size_t total = summaries.summaries.size() + inBucket.size();
+        if (total <= maximumSummaries) {
+            summaries.buckets.push_back(bucket);
+            std::move(inBucket.begin(), inBucket.end(), std::back_inserter(summaries.summaries));
+        } else if (summaries.summaries.empty()) {
+            // A bucket too large for one message is sent in part, at random, and not called complete.
+            std::shuffle(inBucket.begin(), inBucket.end(), m_random);
+            inBucket.resize(maximumSummaries);
+            summaries.summaries = std::move(inBucket);
+            break;
+        }
+    }
+    return summaries;
+}
+
+bool Configuration::mayRequest(TimePoint now, const CustomerId &customer)
+{
+    const auto requested = m_requested.find(customer);
+    if (requested != m_requested.end() && now - requested->second < requestRetry) {
+        return false;
+    }
+    m_requested[customer] = now;
+    return true;
+}
+
+/** True when the other side learns something from this instance's summary. */
+bool Configuration::isBetter(const Summary &own, const Summary &other) const
+{
+    if (own.version != other.version) {
+        return own.version > other.version;
+    }
+    return own.anchor && (!other.anchor || *own.anchor > *other.anchor);
+}
+
+void Configuration::answer(TimePoint now, const InstanceRef &from, const Summaries &summaries, ConfigurationStep &step)
+{
+    StateRequest wanted;
+    Summaries better;
+    std::set<CustomerId> named;
+    for (const Summary &summary : summaries.summaries) {
+        named.insert(summary.customer);
+        const auto own = m_table.summaryOf(now, summary.customer);
+        if ((!own || own->version < summary.version) && mayRequest(now, summary.customer)) {
+            wanted.customers.push_back(summary.customer);
+        }
+        if (own && isBetter(*own, summary)) {
+            better.summaries.push_back(*own);
+        }
+        std::vector<PublishDecision> decisions = m_table.mergeSummary(now, summary);
+        std::move(decisions.begin(), decisions.end(), std::back_inserter(step.decisions));
+    }
+    const std::set<std::uint32_t> complete{summaries.buckets.begin(), summaries.buckets.end()};
+    if (!complete.empty()) {
+        for (const auto &[customer, version] : m_table.versions()) {
+            const bool missing =
+                complete.count(static_cast<std::uint32_t>(VersionTable::bucketOf(customer))) != 0 && named.count(customer) == 0;
+            if (missing && better.summaries.size() < maximumSummaries) {
+                better.summaries.push_back(*m_table.summaryOf(now, customer));
+            }
+        }
+    }
+    if (!wanted.customers.empty()) {
+        step.messages.push_back({from, std::move(wanted)});
+    }
+    if (!better.summaries.empty()) {
+        step.messages.push_back({from, std::move(better)});
+    }
+}
+
+void Configuration::answer(TimePoint, const InstanceRef &from, const StateRequest &request, ConfigurationStep &step)
+{
+    States states;
+    std::size_t bytes = 0;
+    for (const CustomerId &customer : request.customers) {
+        auto state = m_table.stateOf(customer);
+        if (!state) {
+            continue;
+        }
+        // Customer, numbers and framing take the part of the message that bodies don't.
+        bytes += customer.value.size() + 64 + (state->body ? state->body->size() : 0);
+        if (bytes > maximumMessageBytes && !states.states.empty()) {
+            break;
+        }
+        states.states.push_back(std::move(*state));
+    }
+    if (!states.states.empty()) {
+        step.messages.push_back({from, std::move(states)});
+    }
+}
+
+void Configuration::answer(TimePoint now, const InstanceRef &from, const States &states, ConfigurationStep &step)
+{
+    // What was asked for beyond the size of a message may be asked for again at once.
+    m_requested.clear();
+    const std::uint64_t before = m_table.digest();
+    for (const CustomerState &state : states.states) {
+        std::vector<PublishDecision> decisions = m_table.merge(state);
+        std::move(decisions.begin(), decisions.end(), std::back_inserter(step.decisions));
+    }
+    // A starting instance goes on until it knows all, rather than one message per digest period.
+    if (m_table.digest() != before) {
+        step.messages.push_back({from, ownDigest(now)});
+    }
+}
+
+void Configuration::finish(TimePoint now, ConfigurationStep &step)
+{
+    const std::vector<CustomerId> changed = m_table.takeChanged();
+    for (const CustomerId &customer : changed) {
+        step.changes.push_back({customer, m_table.versionOf(customer), m_table.policyOf(customer)});
+    }
+    if (!changed.empty() && changed.size() <= maximumAnnounced) {
+        announce(now, changed, step);
+    }
+}
+
+void Configuration::announce(TimePoint now, const std::vector<CustomerId> &customers, ConfigurationStep &step)
+{
+    Summaries summaries;
+    for (const CustomerId &customer : customers) {
+        summaries.summaries.push_back(*m_table.summaryOf(now, customer));
+    }
+    std::vector<InstanceRef> chosen;
+    std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(chosen), announcedPeers, m_random);
+    for (const InstanceRef &peer : chosen) {
+        step.messages.push_back({peer, summaries});
+    }
+}
+
+PolicyPointer Configuration::policyOf(const CustomerId &customer) const
+{
+    return m_table.policyOf(customer);
+}
+
+std::map<CustomerId, Version> Configuration::versions() const
+{
+    return m_table.versions();
+}
+
+std::optional<CustomerState> Configuration::stateOf(const CustomerId &customer) const
+{
+    return m_table.stateOf(customer);
+}
+
+Offset Configuration::next() const
+{
+    return m_table.next();
+}
+
+Offset Configuration::completeAsOf() const
+{
+    return m_table.completeAsOf();
+}
+
+bool Configuration::ready() const
+{
+    return m_table.contracts() > 0;
+}
+
+} // namespace jackdawdoor::configuration
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -21,6 +21,8 @@
 /** Peers to which a new version is announced at once. */
 constexpr std::size_t announcedPeers = 3;
 constexpr Duration digestPeriod = std::chrono::seconds{1};
+/** More versions than this at once come from catching up; peers know them or find them by digests. */
+constexpr std::size_t maximumAnnounced = 16;
 /** A body that was asked for and didn't come is asked for again after this time. */
 constexpr Duration requestRetry = std::chrono::seconds{2};
 
@@ -76,8 +78,11 @@
     void answer(TimePoint now, const InstanceRef &from, const Summaries &summaries, ConfigurationStep &step);
     void answer(TimePoint now, const InstanceRef &from, const StateRequest &request, ConfigurationStep &step);
     void answer(TimePoint now, const InstanceRef &from, const States &states, ConfigurationStep &step);
-    void sendDigest(ConfigurationStep &step);
-    void finish(TimePoint now, std::vector<PublishDecision> decisions, ConfigurationStep &step);
+    Digest ownDigest(TimePoint now) const;
+    Summaries summariesOf(TimePoint now, std::vector<std::uint32_t> buckets);
+    bool mayRequest(TimePoint now, const CustomerId &customer);
+    bool isBetter(const Summary &own, const Summary &other) const;
+    void finish(TimePoint now, ConfigurationStep &step);
     void announce(TimePoint now, const std::vector<CustomerId> &customers, ConfigurationStep &step);
 
     InstanceRef m_self;
@@ -86,11 +91,11 @@
     LogReader m_reader;
     SnapshotScheduler m_scheduler;
     std::vector<InstanceRef> m_peers; ///< live members of the last view, without this instance
-    std::map<CustomerId, Version> m_announced; ///< versions in force after the last input
+    std::uint64_t m_peersEpoch = 0;
     std::map<CustomerId, TimePoint> m_requested;
     std::optional<TimePoint> m_nextDigest;
     Duration m_retention{};
-    std::size_t m_firstBucket = 0; ///< rotates, so that a long list of differences is worked off
+    std::size_t m_firstBucket = 0; ///< rotates, so that many differences are worked off
 };
 
 } // namespace jackdawdoor::configuration
--- a/src/configuration/configurationmessage.h
+++ b/src/configuration/configurationmessage.h
@@ -28,6 +28,8 @@
 struct Digest {
     std::uint64_t hash = 0; ///< over customers, versions and anchors
     Offset completeAsOf = 0; ///< the sender has decided every customer before this offset; 0 when it has not
+    std::optional<Offset> cycleEnd; ///< asOf of the latest CycleEnd seen
+    Duration cycleEndAge{}; ///< resolution of a second
 
     bool operator==(const Digest &) const = default;
 };
@@ -44,7 +46,7 @@
     CustomerId customer;
     Version version = 0;
     Offset asOf = 0;
-    Offset anchor = 0; ///< 0 when unknown
+    std::optional<Offset> anchor; ///< see Anchor
     Duration anchorAge{}; ///< resolution of a second
 
     bool operator==(const Summary &) const = default;
@@ -52,6 +54,7 @@
 
 /** States that the sender has; the receiver asks for those it lacks and sends back those it has newer. */
 struct Summaries {
+    std::vector<std::uint32_t> buckets; ///< the summaries are all that the sender has in these buckets
     std::vector<Summary> summaries;
 
     bool operator==(const Summaries &) const = default;
--- a/src/configuration/customerhistory.h
+++ b/src/configuration/customerhistory.h
@@ -25,6 +25,7 @@
     CustomerId customer;
     std::string publishId;
     Verdict verdict = Verdict::LostRace;
+    Version baseVersion = 0; ///< the version that the publish replaces
     Version version = 0; ///< the customer's version after the record
     std::string reason; ///< why the body is invalid
 
@@ -63,8 +64,11 @@
     /** Drops the waiting publishes to save memory; the window of this customer then starts at `from`. */
     void dropWaiting(Offset from);
 
+    /** Drops waiting publishes from before a new reader window. */
+    void startWindow(Offset start);
+
+    /** Memory that the waiting publishes take, roughly. */
     std::size_t waitingBytes() const;
-    bool hasWaiting() const;
 
     /** Writes the asOf reached into the state, before the reader's window moves. */
     void settleAsOf(Offset readerWindow, Offset next);
@@ -78,6 +82,12 @@
         Publish publish;
     };
 
+    struct Compiled {
+        PolicyPointer policy; ///< null when the body is invalid
+        std::string reason;
+    };
+
+    static Compiled compileBody(const std::string &body, const ContractCompiler &compile);
     PublishDecision decide(Offset offset, const Publish &publish, const ContractCompiler &compile);
     std::vector<PublishDecision> replayWaiting(Offset readerWindow, const ContractCompiler &compile);
 
--- a/src/configuration/logclock.h
+++ b/src/configuration/logclock.h
@@ -16,7 +16,7 @@
     /** Notes that the record at this offset was appended at this time. Spacing is a 64th of the retention. */
     void note(Offset offset, TimePoint appended, Duration retention);
 
-    /** Time of the last mark at or before the offset, which is never too late; none when there is no such mark. */
+    /** Time of the last mark at or before the offset, or else of the first mark; none when there are no marks. */
     std::optional<TimePoint> timeOf(Offset offset) const;
 
     /** Drops marks of expired records. */
--- a/src/configuration/publishsession.h
+++ b/src/configuration/publishsession.h
@@ -71,25 +71,17 @@
     PublishAction onReadFailed(TimePoint now);
 
 private:
-    enum class Stage {
-        ReadBefore, ///< looking whether the base is still current and no copy was appended
-        Appending,
-        ReadBack,
-    };
-
-    PublishAction read() const;
+    LogRead read() const;
     PublishAction append();
-    PublishAction giveUpOrWait(TimePoint now, const std::string &reason) const;
+    PublishAction waitOrGiveUp(TimePoint now, const std::string &reason) const;
     PublishAction atEndOfLog(TimePoint now);
     std::optional<PublishResult> judge(const std::vector<PublishDecision> &decisions) const;
 
     Publish m_publish;
     ContractCompiler m_compile;
     VersionTable m_table;
-    Stage m_stage = Stage::ReadBefore;
     TimePoint m_startedAt;
-    Offset m_next = 0; ///< where the next read starts
-    bool m_mayBeAppended = false; ///< some append was tried and its failure isn't certain
+    bool m_mayBeAppended = false; ///< an append was acknowledged or ended without a certain failure
     std::optional<Offset> m_appendedAt;
 };
 
--- a/src/configuration/snapshotscheduler.h
+++ b/src/configuration/snapshotscheduler.h
@@ -8,7 +8,7 @@
 
 #include <map>
 #include <optional>
-#include <vector>
+#include <string>
 
 namespace jackdawdoor::configuration {
 
@@ -16,6 +16,11 @@
 constexpr int snapshotsPerRetention = 3;
 /** The k-th instance in rank waits k times this part of the retention longer. */
 constexpr int rankDelaysPerRetention = 36;
+/** CycleEnd records are written this often in a retention period. */
+constexpr int cycleEndsPerRetention = 6;
+/** When no CycleEnd is known at all, instances wait this part of the retention, in the order of rank. It is short
+ * against the life of an instance, since each new one starts this wait anew. */
+constexpr int firstCycleEndPerRetention = 360;
 /** Appends of one instance are at least this far apart; the log takes several hundred a second from all. */
 constexpr Duration appendGap = std::chrono::seconds{2};
 /** Customers examined per second; ranking one costs a hash per member. */
@@ -27,9 +32,9 @@
 public:
     explicit SnapshotScheduler(InstanceId self);
 
-    /** Records to append now. To be called about each second, and only while the log can be read: `asOf` must be
-     * recent. */
-    std::vector<LogRecord> onTick(TimePoint now, const membership::MembershipView &view, const VersionTable &table, Duration retention);
+    /** The record to append now, if any. To be called often, and only while the log can be read: the states in the
+     * table must be recent. */
+    std::optional<LogRecord> onTick(TimePoint now, const membership::MembershipView &view, const VersionTable &table, Duration retention);
 
 private:
     std::optional<LogRecord>
@@ -40,14 +45,15 @@
                      const membership::MembershipView &view,
                      const VersionTable &table,
                      Duration retention);
-    std::size_t rankOf(std::string_view key, const membership::MembershipView &view) const;
+    std::size_t rankOf(const std::string &key, const membership::MembershipView &view) const;
 
     InstanceId m_self;
     std::map<CustomerId, TimePoint> m_appended; ///< own appends whose record was not read yet
     std::map<CustomerId, TimePoint> m_unanchoredSince; ///< customers of which no snapshot was ever seen
     std::optional<CustomerId> m_examined; ///< the last customer examined
     std::optional<TimePoint> m_lastAppend;
-    std::optional<TimePoint> m_lastCycleEnd;
+    std::optional<TimePoint> m_lastCycleEnd; ///< own append
+    std::optional<TimePoint> m_lastExamination;
     std::optional<TimePoint> m_firstTick;
 };
 
--- /dev/null
+++ b/src/configuration/versiontable.cpp
@@ -0,0 +1,206 @@
+#include "configuration/versiontable.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace jackdawdoor::configuration {
+
+VersionTable::VersionTable(ContractCompiler compile)
+    : m_compile(std::move(compile))
+{
+}
+
+std::vector<PublishDecision> VersionTable::applyPage(TimePoint now, const LogPage &page)
+{
+    if (page.firstRetained > m_next) {
+        startWindow(page.firstRetained);
+    }
+    m_clock.expireBefore(page.firstRetained);
+    Decisions decisions;
+    for (const LogEntry &entry : page.entries) {
+        if (entry.offset < m_next) {
+            continue;
+        }
+        const TimePoint appended = now - entry.age;
+        m_clock.note(entry.offset, appended, page.retention);
+        apply(appended, entry, decisions);
+        m_next = entry.offset + 1;
+    }
+    m_next = std::max(m_next, page.nextOffset);
+    return decisions;
+}
+
+/** Records between the old window and the new one were missed: what was decided stays, but nothing can follow. */
+void VersionTable::startWindow(Offset start)
+{
+    m_absentAsOf = absentAsOf();
+    m_waitingBytes = 0;
+    for (auto &[customer, history] : m_histories) {
+        history.settleAsOf(m_windowStart, m_next);
+        history.startWindow(start);
+        m_waitingBytes += history.waitingBytes();
+    }
+    m_windowStart = start;
+    m_next = start;
+}
+
+void VersionTable::apply(TimePoint appended, const LogEntry &entry, Decisions &decisions)
+{
+    std::optional<LogRecord> record = decodeRecord(entry.record);
+    if (!record) {
+        return;
+    }
+    std::visit(
+        [&](auto &typed) {
+            applyRecord(appended, entry.offset, std::move(typed), decisions);
+        },
+        *record);
+}
+
+void VersionTable::applyRecord(TimePoint, Offset offset, Publish publish, Decisions &decisions)
+{
+    CustomerHistory &history = historyOf(publish.customer);
+    const Version versionBefore = versionOf(publish.customer);
+    const std::size_t bytesBefore = history.waitingBytes();
+    Decisions made = history.publish(offset, std::move(publish), m_windowStart, m_compile);
+    note(history, versionBefore, bytesBefore, std::move(made), decisions);
+    if (m_waitingBytes > maximumWaitingBytes) {
+        m_waitingBytes -= history.waitingBytes();
+        history.dropWaiting(offset + 1);
+    }
+}
+
+void VersionTable::applyRecord(TimePoint, Offset offset, const Snapshot &snapshot, Decisions &decisions)
+{
+    // A version is an offset plus 1, and nobody can have decided records that come after its own.
+    if (snapshot.version == 0 || snapshot.version > snapshot.asOf || snapshot.asOf > offset) {
+        return;
+    }
+    CustomerHistory &history = historyOf(snapshot.customer);
+    history.snapshotSeen = offset;
+    const bool usable = snapshot.asOf >= history.windowStart(m_windowStart);
+    const bool follows = history.follows(m_windowStart);
+    // The snapshot of a reader that follows the log tells it nothing. For one that knows no version and can't follow
+    // from the snapshot, the version may be outdated: a late writer may have appended it.
+    if (!follows && (usable || versionOf(snapshot.customer) > 0)) {
+        mergeInto(history, CustomerState{snapshot.customer, snapshot.version, snapshot.asOf, snapshot.body}, decisions);
+    }
+    const bool isTrue = history.state() && snapshot.version <= history.state()->version;
+    if (usable && isTrue && (!history.anchor || snapshot.asOf > history.anchor->offset)) {
+        history.anchor = Anchor{snapshot.asOf, *m_clock.timeOf(snapshot.asOf)};
+    }
+}
+
+void VersionTable::applyRecord(TimePoint appended, Offset offset, const CycleEnd &cycleEnd, Decisions &decisions)
+{
+    if (cycleEnd.asOf > offset) {
+        return;
+    }
+    mergeCycleEnd(Anchor{cycleEnd.asOf, appended});
+    if (cycleEnd.asOf >= m_windowStart) {
+        concludeAbsent(cycleEnd.asOf, true, decisions);
+    }
+}
+
+void VersionTable::mergeCycleEnd(const Anchor &cycleEnd)
+{
+    if (!m_cycleEnd || cycleEnd.offset > m_cycleEnd->offset) {
+        m_cycleEnd = cycleEnd;
+    }
+}
+
+/** Customers without a version did not exist before this offset. After a CycleEnd that excludes those with a snapshot
+ * record since its asOf, even when the snapshot was of no use here. */
+void VersionTable::concludeAbsent(Offset asOf, bool unlessSnapshot, Decisions &decisions)
+{
+    m_absentAsOf = std::max(m_absentAsOf, asOf);
+    for (auto &[customer, history] : m_histories) {
+        const bool exists = history.state() && history.state()->version > 0;
+        const bool excluded = unlessSnapshot && history.snapshotSeen && *history.snapshotSeen >= asOf;
+        if (!exists && !excluded) {
+            mergeInto(history, CustomerState{customer, 0, asOf, std::nullopt}, decisions);
+        }
+    }
+}
+
+std::vector<PublishDecision> VersionTable::merge(const CustomerState &state)
+{
+    if (state.version == 0 || state.version > state.asOf || state.customer.empty()) {
+        return {};
+    }
+    Decisions decisions;
+    mergeInto(historyOf(state.customer), state, decisions);
+    return decisions;
+}
+
+std::vector<PublishDecision> VersionTable::mergeSummary(TimePoint now, const Summary &summary)
+{
+    const auto found = m_histories.find(summary.customer);
+    if (found == m_histories.end() || summary.version == 0 || versionOf(summary.customer) != summary.version) {
+        return {};
+    }
+    CustomerHistory &history = found->second;
+    if (summary.anchor && (!history.anchor || *summary.anchor > history.anchor->offset)) {
+        history.anchor = Anchor{*summary.anchor, now - summary.anchorAge};
+    }
+    Decisions decisions;
+    mergeInto(history, CustomerState{summary.customer, summary.version, summary.asOf, std::nullopt}, decisions);
+    return decisions;
+}
+
+std::vector<PublishDecision> VersionTable::adoptComplete(Offset asOf)
+{
+    Decisions decisions;
+    if (asOf > m_next) {
+        startWindow(asOf);
+    }
+    concludeAbsent(asOf, false, decisions);
+    for (auto &[customer, history] : m_histories) {
+        const CustomerState state{customer, history.state()->version, asOf, std::nullopt};
+        mergeInto(history, state, decisions);
+    }
+    return decisions;
+}
+
+void VersionTable::mergeInto(CustomerHistory &history, const CustomerState &state, Decisions &decisions)
+{
+    const Version versionBefore = history.state() ? history.state()->version : 0;
+    const std::size_t bytesBefore = history.waitingBytes();
+    history.settleAsOf(m_windowStart, m_next);
+    note(history, versionBefore, bytesBefore, history.merge(state, m_windowStart, m_compile), decisions);
+}
+
+/** Book-keeping after a history was changed. */
+void VersionTable::note(CustomerHistory &history, Version versionBefore, std::size_t bytesBefore, Decisions made, Decisions &decisions)
+{
+    m_waitingBytes = m_waitingBytes + history.waitingBytes() - bytesBefore;
+    if (history.state() && history.state()->version > versionBefore) {
+        m_changed.insert(history.state()->customer);
+    }
+    for (PublishDecision &decision : made) {
+        // A reader that knows the customer to be absent before its first publish can start there.
+        const bool created = decision.verdict == Verdict::Accepted && decision.baseVersion == 0;
+        const auto time = m_clock.timeOf(decision.offset);
+        if (created && time && (!history.anchor || decision.offset > history.anchor->offset)) {
+            history.anchor = Anchor{decision.offset, *time};
+        }
+        decisions.push_back(std::move(decision));
+    }
+}
+
+Offset VersionTable::absentAsOf() const
+{
+    return m_absentAsOf >= m_windowStart ? std::max(m_absentAsOf, m_next) : m_absentAsOf;
+}
+
+CustomerHistory &VersionTable::historyOf(const CustomerId &customer)
+{
+    const auto [place, isNew] = m_histories.try_emplace(customer, customer);
+    if (isNew) {
+        place->second.merge(CustomerState{customer, 0, absentAsOf(), std::nullopt}, m_windowStart, m_compile);
+    }
+    return place->second;
+}
+
+} // namespace jackdawdoor::configuration
--- a/src/configuration/versiontable.h
+++ b/src/configuration/versiontable.h
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace jackdawdoor::configuration {
@@ -42,7 +43,7 @@
 
     /** To be called when a peer's digest equals this table's: no customer is missing and all are decided before
      * `asOf`. A reader that has not read that far jumps there. */
-    std::vector<PublishDecision> adoptComplete(TimePoint now, Offset asOf);
+    std::vector<PublishDecision> adoptComplete(Offset asOf);
 
     /** Offset before which all customers, also the absent ones, are decided; 0 when that is not known. */
     Offset completeAsOf() const;
@@ -60,10 +61,18 @@
 
     std::optional<Anchor> anchorOf(const CustomerId &customer) const;
 
-    /** Customers with a version above 0, tombstones included, by id. */
-    std::vector<CustomerId> customers() const;
+    /** The customer with a version above 0 that follows this one by id; the first when none is given. */
+    std::optional<CustomerId> customerAfter(const std::optional<CustomerId> &customer) const;
+
+    /** Customers with a version above 0, tombstones included. */
     std::map<CustomerId, Version> versions() const;
 
+    /** Customers whose version rose since the last call. */
+    std::vector<CustomerId> takeChanged();
+
+    /** Offset that a CycleEnd may name now: each customer is known and has an anchor at or after it. */
+    std::optional<Offset> possibleCycleEnd() const;
+
     /** Customers that have a contract in force. */
     std::size_t contracts() const;
 
@@ -71,9 +80,12 @@
     std::vector<std::uint64_t> bucketHashes() const;
     std::optional<Summary> summaryOf(TimePoint now, const CustomerId &customer) const;
 
-    /** Latest CycleEnd seen. */
+    /** Latest CycleEnd seen, with the time of its record. */
     const std::optional<Anchor> &cycleEnd() const;
 
+    /** Notes a CycleEnd that a peer has seen. */
+    void mergeCycleEnd(const Anchor &cycleEnd);
+
     /** Bucket of a customer, below digestBuckets. */
     static std::size_t bucketOf(const CustomerId &customer);
 
@@ -82,14 +94,15 @@
 
     void startWindow(Offset start);
     void apply(TimePoint appended, const LogEntry &entry, Decisions &decisions);
-    void apply(TimePoint appended, Offset offset, Publish publish, Decisions &decisions);
-    void apply(Offset offset, const Snapshot &snapshot, Decisions &decisions);
-    void apply(TimePoint appended, Offset offset, const CycleEnd &cycleEnd, Decisions &decisions);
+    void applyRecord(TimePoint appended, Offset offset, Publish publish, Decisions &decisions);
+    void applyRecord(TimePoint appended, Offset offset, const Snapshot &snapshot, Decisions &decisions);
+    void applyRecord(TimePoint appended, Offset offset, const CycleEnd &cycleEnd, Decisions &decisions);
     void concludeAbsent(Offset asOf, bool unlessSnapshot, Decisions &decisions);
-    void append(Decisions &decisions, std::vector<PublishDecision> more);
-    void raiseAnchor(CustomerHistory &history, const Anchor &anchor);
-    void boundWaiting(CustomerHistory &history);
+    void mergeInto(CustomerHistory &history, const CustomerState &state, Decisions &decisions);
+    Offset absentAsOf() const;
     CustomerHistory &historyOf(const CustomerId &customer);
+    const CustomerHistory *find(const CustomerId &customer) const;
+    void note(CustomerHistory &history, Version versionBefore, std::size_t bytesBefore, Decisions made, Decisions &decisions);
 
     ContractCompiler m_compile;
     std::map<CustomerId, CustomerHistory> m_histories;
@@ -99,6 +112,7 @@
     Offset m_absentAsOf = 0; ///< customers without a state did not exist before this offset
     std::size_t m_waitingBytes = 0;
     std::optional<Anchor> m_cycleEnd;
+    std::set<CustomerId> m_changed;
 };
 
 } // namespace jackdawdoor::configuration
