--- /dev/null
+++ b/src/health/fleethealth.cpp
@@ -0,0 +1,279 @@
+#include "health/fleethealth.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** A holder that has not reported for this long is gone; its evidence no longer counts. */
+constexpr Duration reportLifetime = std::chrono::seconds{3};
+/** Part of the ejection threshold that a second instance must reach to agree with the first. */
+constexpr double agreement = 0.5;
+/** Good answers of the instance asked for a second opinion that contradict the fault. */
+constexpr std::uint32_t contradiction = 5;
+/** A second instance that has seen nothing by then is replaced by another one. */
+constexpr Duration opinionPatience = std::chrono::seconds{3};
+/** After a contradiction, the next instance is asked this much later. */
+constexpr Duration opinionPause = std::chrono::seconds{10};
+/** A return is announced repeatedly for this long, because a message may be lost. */
+constexpr Duration returnAnnouncement = std::chrono::seconds{4};
+/** A holder that has not finished the trials by then is replaced by another one. */
+constexpr Duration trialPatience = std::chrono::seconds{7};
+/** An ejected upstream is replaced by a worse one only when that is clearly worse. */
+constexpr double replacementFactor = 1.5;
+constexpr double replacementMargin = 0.5;
+
+} // namespace
+
+FleetHealth::FleetHealth(const contract::ServicePolicy &policy, std::uint64_t policyVersion)
+    : m_policy(policy)
+    , m_policyVersion(policyVersion)
+    , m_floor(policy.health.healthyFloor)
+    , m_entries(policy.upstreams.size(), Entry{policy.health})
+{
+}
+
+void FleetHealth::onEvidence(TimePoint now, const InstanceId &instance, const EvidenceReport &report)
+{
+    if (report.policyVersion != m_policyVersion || report.service != m_policy.id) {
+        return;
+    }
+    m_holders[instance] = now;
+    std::vector<UpstreamEvidence> all(m_entries.size());
+    for (const auto &evidence : report.upstreams) {
+        if (evidence.upstream < all.size()) {
+            all[evidence.upstream] = evidence;
+        }
+    }
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        auto &entry = m_entries[index];
+        auto &stored = entry.reports[instance];
+        stored.evidence = all[index];
+        stored.recentGood = all[index].bad > 0 ? 0 : stored.recentGood + all[index].good;
+        adoptEjection(now, entry, all[index]);
+        mergeTrials(now, entry, instance, all[index]);
+    }
+}
+
+void FleetHealth::adoptEjection(TimePoint now, Entry &entry, const UpstreamEvidence &evidence)
+{
+    const bool announced = entry.returnedAt && now - *entry.returnedAt < returnAnnouncement;
+    if (!evidence.ejectedByFleet || entry.wantsEjection || announced) {
+        return;
+    }
+    // A former coordinator ejected it when two instances agreed; that remains valid until a probation says otherwise.
+    entry.wantsEjection = true;
+    entry.severity = evidence.severity;
+    entry.probation.resume(now, evidence.relapses, m_policy.health.probationDelay);
+}
+
+void FleetHealth::mergeTrials(TimePoint now, Entry &entry, const InstanceId &instance, const UpstreamEvidence &evidence)
+{
+    if (!entry.probation.isEjected()) {
+        return;
+    }
+    // A failure counts from any holder, since a trial can end after the next holder was asked.
+    if (evidence.trialFailed && entry.probation.isTrialDue(now)) {
+        entry.probation.trialFinished(now, false);
+        entry.trialHolder = {};
+        return;
+    }
+    if (instance == entry.trialHolder && evidence.trialsPassed >= static_cast<std::uint32_t>(m_policy.health.probationTrials)) {
+        endEjection(now, entry);
+    }
+}
+
+void FleetHealth::endEjection(TimePoint now, Entry &entry)
+{
+    entry.wantsEjection = false;
+    entry.trialHolder = {};
+    entry.returnedAt = now;
+    entry.probation.endEjection(now);
+    // What the holders reported before the return is no evidence against the upstream after it.
+    for (auto &[instance, report] : entry.reports) {
+        report = {};
+    }
+}
+
+void FleetHealth::setUnavailable(const UpstreamId &upstream, bool unavailable)
+{
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_policy.upstreams[index].id == upstream) {
+            m_entries[index].unavailable = unavailable;
+        }
+    }
+}
+
+Verdicts FleetHealth::judge(TimePoint now)
+{
+    forgetSilent(now);
+    for (auto &entry : m_entries) {
+        considerEjection(entry);
+        if (entry.probation.isTrialOverdue(now)) {
+            endEjection(now, entry);
+        }
+    }
+    applyFloor(now);
+    Verdicts verdicts{m_policy.id, m_policyVersion, {}};
+    for (std::uint32_t index = 0; index < m_entries.size(); ++index) {
+        if (auto verdict = verdictFor(now, index)) {
+            verdict->floorBound = m_bound.has_value();
+            verdicts.verdicts.push_back(*verdict);
+        }
+    }
+    return verdicts;
+}
+
+const std::optional<FloorBound> &FleetHealth::floorBound() const
+{
+    return m_bound;
+}
+
+bool FleetHealth::isStrong(const UpstreamEvidence &evidence) const
+{
+    return evidence.ejectedHere || evidence.score >= m_policy.health.ejectionThreshold;
+}
+
+void FleetHealth::considerEjection(Entry &entry)
+{
+    if (entry.probation.isEjected()) {
+        return;
+    }
+    int strong = 0;
+    int agreeing = 0;
+    double severity = 0;
+    for (const auto &[instance, report] : entry.reports) {
+        const auto &evidence = report.evidence;
+        strong += isStrong(evidence) ? 1 : 0;
+        if (isStrong(evidence) || evidence.score >= m_policy.health.ejectionThreshold * agreement) {
+            ++agreeing;
+            severity = std::max(severity, evidence.severity);
+        }
+    }
+    entry.wantsEjection = strong >= 1 && agreeing >= 2;
+    entry.severity = severity;
+}
+
+void FleetHealth::applyFloor(TimePoint now)
+{
+    std::vector<FloorCandidate> candidates;
+    candidates.reserve(m_entries.size());
+    for (const auto &entry : m_entries) {
+        const bool ejected = entry.probation.isEjected();
+        const double severity = ejected ? entry.severity * replacementFactor + replacementMargin : entry.severity;
+        candidates.push_back({!entry.unavailable, entry.wantsEjection, severity});
+    }
+    const auto decision = m_floor.decide(candidates);
+    for (const auto index : decision.ejected) {
+        auto &entry = m_entries[index];
+        if (!entry.probation.isEjected()) {
+            entry.probation.eject(now);
+            entry.trialHolder = {};
+        }
+    }
+    for (const auto index : decision.bound.kept) {
+        auto &entry = m_entries[index];
+        if (entry.probation.isEjected()) {
+            entry.probation.release(now);
+            entry.returnedAt = now;
+        }
+    }
+    m_bound = decision.bound.kept.empty() ? std::nullopt : std::optional{decision.bound};
+}
+
+std::optional<Verdict> FleetHealth::verdictFor(TimePoint now, std::uint32_t index)
+{
+    auto &entry = m_entries[index];
+    Verdict verdict;
+    verdict.upstream = index;
+    verdict.relapses = entry.probation.relapses();
+    verdict.severity = entry.severity;
+    if (entry.probation.isEjected()) {
+        verdict.remaining = entry.probation.remaining(now);
+        if (!entry.probation.isTrialDue(now)) {
+            return verdict;
+        }
+        if (entry.trialHolder.empty() || now - entry.trialHolderSince > trialPatience) {
+            entry.trialHolder = nextHolder(entry.trialHolder, entry);
+            entry.trialHolderSince = now;
+        }
+        verdict.kind = VerdictKind::Trial;
+        verdict.instance = entry.trialHolder;
+        return verdict;
+    }
+    if (entry.returnedAt && now - *entry.returnedAt < returnAnnouncement) {
+        verdict.kind = VerdictKind::Return;
+        return verdict;
+    }
+    if (const auto instance = chooseOpinion(now, entry)) {
+        verdict.kind = VerdictKind::SecondOpinion;
+        verdict.instance = *instance;
+        return verdict;
+    }
+    return std::nullopt;
+}
+
+InstanceId FleetHealth::nextHolder(const InstanceId &previous, const Entry &entry) const
+{
+    // Holders that saw the fault come first: a fault that others do not see must not be declared over by them.
+    std::vector<InstanceId> order;
+    for (const auto &[instance, report] : entry.reports) {
+        if (isStrong(report.evidence) || report.evidence.ejectedByFleet) {
+            order.push_back(instance);
+        }
+    }
+    if (order.empty()) {
+        for (const auto &[instance, seen] : m_holders) {
+            order.push_back(instance);
+        }
+    }
+    if (order.empty()) {
+        return {};
+    }
+    const auto after = std::upper_bound(order.begin(), order.end(), previous);
+    return after == order.end() ? order.front() : *after;
+}
+
+std::optional<InstanceId> FleetHealth::chooseOpinion(TimePoint now, Entry &entry)
+{
+    const auto accuser = std::find_if(entry.reports.begin(), entry.reports.end(), [this](const auto &item) {
+        return isStrong(item.second.evidence);
+    });
+    if (accuser == entry.reports.end() || m_holders.size() < 2) {
+        entry.opinionFrom = {};
+        return std::nullopt;
+    }
+    const auto asked = entry.reports.find(entry.opinionFrom);
+    const bool contradicted = asked != entry.reports.end() && asked->second.recentGood >= contradiction;
+    const auto patience = contradicted ? opinionPause : opinionPatience;
+    if (entry.opinionFrom.empty() || now - entry.opinionSince > patience) {
+        auto next = m_holders.upper_bound(entry.opinionFrom);
+        next = next == m_holders.end() ? m_holders.begin() : next;
+        if (next->first == accuser->first) {
+            ++next;
+            next = next == m_holders.end() ? m_holders.begin() : next;
+        }
+        entry.opinionFrom = next->first;
+        entry.opinionSince = now;
+        entry.reports[entry.opinionFrom].recentGood = 0;
+        return entry.opinionFrom;
+    }
+    return contradicted ? std::nullopt : std::optional{entry.opinionFrom};
+}
+
+void FleetHealth::forgetSilent(TimePoint now)
+{
+    for (auto holder = m_holders.begin(); holder != m_holders.end();) {
+        if (now - holder->second <= reportLifetime) {
+            ++holder;
+            continue;
+        }
+        for (auto &entry : m_entries) {
+            entry.reports.erase(holder->first);
+        }
+        holder = m_holders.erase(holder);
+    }
+}
+
+} // namespace jackdawdoor::health
--- a/src/health/fleethealth.h
+++ b/src/health/fleethealth.h
@@ -33,10 +33,8 @@
 
 private:
     struct Report {
-        TimePoint at;
         UpstreamEvidence evidence;
-        std::uint32_t recentGood = 0; ///< good answers since the holder was last seen with bad evidence
-        bool said = false; ///< the holder has reported on this upstream
+        std::uint32_t recentGood = 0; ///< good answers since the last bad one, or since a second opinion was asked for
     };
     struct Entry {
         explicit Entry(const contract::HealthPolicy &policy)
@@ -55,11 +53,14 @@
         bool unavailable = false;
     };
 
-    void considerEjection(TimePoint now, Entry &entry);
+    bool isStrong(const UpstreamEvidence &evidence) const;
+    void considerEjection(Entry &entry);
+    void adoptEjection(TimePoint now, Entry &entry, const UpstreamEvidence &evidence);
     void mergeTrials(TimePoint now, Entry &entry, const InstanceId &instance, const UpstreamEvidence &evidence);
+    void endEjection(TimePoint now, Entry &entry);
     void applyFloor(TimePoint now);
     std::optional<Verdict> verdictFor(TimePoint now, std::uint32_t index);
-    InstanceId chooseTrialHolder(TimePoint now, const Entry &entry) const;
+    InstanceId nextHolder(const InstanceId &previous, const Entry &entry) const;
     std::optional<InstanceId> chooseOpinion(TimePoint now, Entry &entry);
     void forgetSilent(TimePoint now);
 
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -4,9 +4,11 @@
 #include "contract/policy.h"
 #include "health/latencybaseline.h"
 #include "health/observation.h"
+#include "health/slownesstest.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace jackdawdoor::health {
@@ -36,8 +38,11 @@
     /** A request was sent. freshConnection: it is certain that a new connection is used for it. */
     void attemptStarted(TimePoint now, std::size_t upstream, std::uint64_t attempt, const OperationId &operation, bool freshConnection);
 
-    /** A request ended. forgiveSlowness: the upstream is in its cold start. */
-    void observe(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness);
+    /** A request ended. forgiveSlowness: the upstream is in its cold start.
+     *
+     * Returns whether the answer was bad (failed or slow), or nothing when it says nothing about the upstream.
+     */
+    std::optional<bool> observe(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness);
 
     GrayScore score(TimePoint now, std::size_t upstream) const;
 
@@ -50,24 +55,37 @@
     /** Only the connections used so far are in doubt: the next attempt should open a new one. */
     bool needsNewConnection(TimePoint now, std::size_t upstream) const;
 
-    int inProgress(std::size_t upstream) const;
+    int inProgress(std::size_t upstream) const
+    {
+        return static_cast<int>(m_upstreams[upstream].running.size());
+    }
 
     /** Forgets the evidence against an upstream, when its probation begins or ends. */
     void reset(std::size_t upstream);
 
-    const LatencyBaseline &baseline() const;
+    const LatencyBaseline &baseline() const
+    {
+        return m_baseline;
+    }
 
     /** Moving share of failures among the upstream's answers. */
-    double failureShare(std::size_t upstream) const;
+    double failureShare(std::size_t upstream) const
+    {
+        return m_upstreams[upstream].failureShare;
+    }
 
     /** Moving share of shed responses among the upstream's answers. */
-    double shedShare(std::size_t upstream) const;
+    double shedShare(std::size_t upstream) const
+    {
+        return m_upstreams[upstream].shedShare;
+    }
 
 private:
     struct Running {
         std::uint64_t attempt = 0;
         OperationId operation;
         TimePoint started;
+        Duration slowAfter{}; ///< slow threshold when it was sent; spares computing it anew at each look
         bool freshConnection = false;
     };
     struct Upstream {
@@ -88,17 +106,23 @@
         double fresh = 0; ///< evidence from requests on new connections
         double total = 0;
         int slow = 0; ///< requests past the slow threshold
-        int slowFresh = 0;
+        TimePoint earliest = TimePoint::max(); ///< start of the first of these
     };
 
+    static double grayRate(double healthyRate);
+    static void noteSuspicion(TimePoint now, Upstream &state);
     double healthyFailureRate(std::size_t upstream) const;
     double slownessRatio(const OperationId &operation, std::size_t upstream, Duration latency, bool stillRunning) const;
     InProgressEvidence inProgressEvidence(TimePoint now, std::size_t upstream) const;
     bool siblingsAreWell(TimePoint now, std::size_t upstream) const;
-    void addFailures(std::size_t upstream, int count);
+    std::optional<bool> observeFailure(TimePoint now, std::size_t upstream, const Observation &observation);
+    void addFailure(TimePoint now, std::size_t upstream);
+    void addSlowness(TimePoint now, std::size_t upstream, double ratio);
+    void updateExcess(std::size_t upstream, const Observation &observation);
     void countAnswer(TimePoint now, std::size_t upstream, bool bad);
 
     contract::HealthPolicy m_policy;
+    SlownessTest m_slowness;
     LatencyBaseline m_baseline;
     std::vector<Upstream> m_upstreams;
 };
--- a/src/health/latencybaseline.h
+++ b/src/health/latencybaseline.h
@@ -42,9 +42,18 @@
         int count = 0;
         double meanLog = 0;
         double meanDeviation = 0; ///< moving mean of the absolute deviation from meanLog
+        std::size_t rank = 0; ///< position in Row::sorted, or the number of upstreams
     };
+    struct Row {
+        std::vector<Cell> cells; ///< by upstream
+        std::vector<double> sorted; ///< means of the upstreams with enough answers, refreshed every few answers
+        double spread = 0;
+        int addedSince = 0;
+    };
+
+    void refresh(Row &row) const;
 
-    absl::flat_hash_map<OperationId, std::vector<Cell>> m_cells;
+    absl::flat_hash_map<OperationId, Row> m_rows;
     std::size_t m_upstreams;
 };
 
--- /dev/null
+++ b/src/health/localhealth.cpp
@@ -0,0 +1,257 @@
+#include "health/localhealth.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** Without a verdict for this long, the holder runs the probation itself. */
+constexpr Duration verdictTimeout = std::chrono::seconds{5};
+/** An ejected upstream is replaced by a worse one only when that is clearly worse, or the two would change places often. */
+constexpr double replacementFactor = 1.5;
+constexpr double replacementMargin = 0.5;
+
+std::string shortNumber(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.1f", value);
+    return text;
+}
+
+} // namespace
+
+LocalHealth::LocalHealth(const contract::ServicePolicy &policy, InstanceId self, std::uint64_t policyVersion)
+    : m_policy(policy)
+    , m_self(std::move(self))
+    , m_policyVersion(policyVersion)
+    , m_detector(policy.health, policy.upstreams.size())
+    , m_floor(policy.health.healthyFloor)
+    , m_entries(policy.upstreams.size(), Entry{policy.health})
+    , m_lastDispatched(policy.upstreams.size())
+{
+    for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
+        m_index.emplace(policy.upstreams[index].id, index);
+    }
+}
+
+void LocalHealth::attemptStarted(TimePoint now,
+                                 const UpstreamId &upstream,
+                                 std::uint64_t attempt,
+                                 const OperationId &operation,
+                                 AttemptKind kind,
+                                 bool freshConnection)
+{
+    const auto index = indexOf(upstream);
+    if (!index) {
+        return;
+    }
+    auto &entry = m_entries[*index];
+    entry.lastStarted = now;
+    m_lastDispatched = *index;
+    m_detector.attemptStarted(now, *index, attempt, operation, freshConnection);
+    if (kind == AttemptKind::Trial) {
+        entry.probation.trialStarted(now);
+    }
+}
+
+std::vector<HealthChange> LocalHealth::record(TimePoint now, const Observation &observation)
+{
+    std::vector<HealthChange> changes;
+    const auto index = indexOf(observation.upstream);
+    if (!index) {
+        return changes;
+    }
+    auto &entry = m_entries[*index];
+    const auto bad = m_detector.observe(now, *index, observation, isCold(now, entry));
+    if (bad) {
+        (*bad ? entry.bad : entry.good) += 1;
+    }
+    if (observation.kind == AttemptKind::Trial && entry.probation.isTrialRunning()) {
+        // A failure on an old connection proves nothing against an upstream at work, but it is no reason to return either.
+        const bool failed = bad.value_or(isFailure(observation.outcome));
+        if (!bad && !failed) {
+            entry.probation.trialInconclusive(now);
+        } else {
+            finishTrial(now, *index, !failed, changes);
+        }
+    }
+    updateWish(now, *index);
+    applyFloor(now, changes);
+    return changes;
+}
+
+std::vector<HealthChange> LocalHealth::onTick(TimePoint now)
+{
+    std::vector<HealthChange> changes;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        auto &entry = m_entries[index];
+        if (entry.ejectedByFleet && now - entry.lastVerdict > verdictTimeout) {
+            entry.ejectedByFleet = false;
+            entry.trialsHere = false;
+        }
+        if (entry.probation.hasTrialExpired(now)) {
+            finishTrial(now, index, false, changes);
+        }
+        if (!entry.ejectedByFleet && entry.probation.isTrialOverdue(now)) {
+            endEjection(now, index, "no idempotent request came to serve as a trial", changes);
+        }
+        updateWish(now, index);
+    }
+    applyFloor(now, changes);
+    return changes;
+}
+
+void LocalHealth::finishTrial(TimePoint now, std::size_t index, bool good, std::vector<HealthChange> &changes)
+{
+    auto &entry = m_entries[index];
+    const bool passed = entry.probation.trialFinished(now, good);
+    if (!good) {
+        entry.trialFailed = true;
+        m_urgent = m_urgent || entry.ejectedByFleet;
+        return;
+    }
+    if (!passed) {
+        return;
+    }
+    if (entry.ejectedByFleet) {
+        m_urgent = true;
+        return;
+    }
+    endEjection(now, index, "passed its probation trials", changes);
+}
+
+void LocalHealth::endEjection(TimePoint now, std::size_t index, const std::string &reason, std::vector<HealthChange> &changes)
+{
+    auto &entry = m_entries[index];
+    entry.wantsEjection = false;
+    entry.ejectedByFleet = false;
+    entry.trialsHere = false;
+    m_detector.reset(index);
+    if (entry.probation.isEjected()) {
+        entry.probation.endEjection(now);
+        m_urgent = true;
+        changes.push_back({m_policy.upstreams[index].id, "return", reason});
+    }
+}
+
+void LocalHealth::updateWish(TimePoint now, std::size_t index)
+{
+    auto &entry = m_entries[index];
+    if (entry.probation.isEjected()) {
+        return;
+    }
+    if (entry.wantsEjection && !entry.ejectedByFleet && !m_detector.isSuspect(now, index)) {
+        entry.wantsEjection = false;
+    }
+    if (!entry.wantsEjection && m_detector.isGray(now, index)) {
+        entry.wantsEjection = true;
+    }
+    if (entry.wantsEjection && !entry.ejectedByFleet) {
+        entry.severity = m_detector.score(now, index).severity;
+    }
+}
+
+void LocalHealth::applyFloor(TimePoint now, std::vector<HealthChange> &changes)
+{
+    const bool nothingToDo = std::none_of(m_entries.begin(), m_entries.end(), [](const Entry &entry) {
+        return entry.wantsEjection || entry.kept;
+    });
+    if (nothingToDo) {
+        return;
+    }
+    std::vector<FloorCandidate> candidates;
+    candidates.reserve(m_entries.size());
+    for (const auto &entry : m_entries) {
+        const bool ejected = entry.probation.isEjected();
+        const double severity = ejected ? entry.severity * replacementFactor + replacementMargin : entry.severity;
+        candidates.push_back({isAvailable(now, entry), entry.wantsEjection, severity});
+    }
+    const auto decision = m_floor.decide(candidates);
+    for (const auto index : decision.ejected) {
+        auto &entry = m_entries[index];
+        entry.kept = false;
+        if (!entry.probation.isEjected()) {
+            const auto reason = describe(now, index);
+            entry.probation.eject(now);
+            m_urgent = true;
+            changes.push_back({m_policy.upstreams[index].id, "eject", reason});
+        }
+    }
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        const bool kept = std::binary_search(decision.bound.kept.begin(), decision.bound.kept.end(), index);
+        auto &entry = m_entries[index];
+        if (kept && !entry.kept) {
+            changes.push_back({m_policy.upstreams[index].id, "keep", decision.bound.message() + "; " + describe(now, index)});
+        }
+        if (kept && entry.probation.isEjected()) {
+            entry.probation.release(now);
+        }
+        entry.kept = kept;
+    }
+}
+
+void LocalHealth::setDraining(const UpstreamId &upstream, bool draining)
+{
+    if (const auto index = indexOf(upstream)) {
+        m_entries[*index].draining = draining;
+    }
+}
+
+void LocalHealth::setLeaving(const UpstreamId &upstream)
+{
+    if (const auto index = indexOf(upstream)) {
+        m_entries[*index].leaving = true;
+    }
+}
+
+void LocalHealth::markStarted(TimePoint now, const UpstreamId &upstream)
+{
+    if (const auto index = indexOf(upstream)) {
+        auto &entry = m_entries[*index];
+        entry.coldUntil = now + m_policy.health.coldStartAllowance;
+        entry.draining = false;
+        entry.leaving = false;
+    }
+}
+
+int LocalHealth::usable(TimePoint now) const
+{
+    return static_cast<int>(std::count_if(m_entries.begin(), m_entries.end(), [this, now](const Entry &entry) {
+        return isAvailable(now, entry) && !entry.probation.isEjected();
+    }));
+}
+
+std::optional<std::size_t> LocalHealth::indexOf(const UpstreamId &upstream) const
+{
+    const auto found = m_index.find(upstream);
+    return found == m_index.end() ? std::nullopt : std::optional{found->second};
+}
+
+bool LocalHealth::isCold(TimePoint now, const Entry &entry)
+{
+    return entry.coldUntil && now < *entry.coldUntil;
+}
+
+bool LocalHealth::isAvailable(TimePoint now, const Entry &entry)
+{
+    return !entry.draining && !entry.leaving && !isCold(now, entry);
+}
+
+bool LocalHealth::isTrialAllowed(TimePoint now, const Entry &entry)
+{
+    return entry.probation.isTrialDue(now) && (!entry.ejectedByFleet || entry.trialsHere);
+}
+
+std::string LocalHealth::describe(TimePoint now, std::size_t index) const
+{
+    if (m_entries[index].ejectedByFleet) {
+        return "verdict of the coordinator";
+    }
+    const auto score = m_detector.score(now, index);
+    return "evidence of errors " + shortNumber(score.errors) + ", of slowness " + shortNumber(score.slowness) + ", threshold "
+           + shortNumber(m_policy.health.ejectionThreshold) + ", bad answers " + std::to_string(score.badAnswers);
+}
+
+} // namespace jackdawdoor::health
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -7,6 +7,7 @@
 #include "health/graydetector.h"
 #include "health/observation.h"
 #include "health/probation.h"
+#include "health/upstreamstate.h"
 #include "health/verdict.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -17,35 +18,6 @@
 
 namespace jackdawdoor::health {
 
-/** Why an upstream gets or does not get work. */
-enum class Standing {
-    Healthy,
-    Suspect, ///< some evidence of a fault; more is being gathered
-    Ejected,
-    Probation, ///< ejected, and a trial may be sent now
-    Ramping, ///< returned a short while ago
-    Cold, ///< started a short while ago
-    Draining,
-    Leaving,
-};
-
-/** Name of a standing in logs, such as "ejected". */
-std::string standingName(Standing standing);
-
-/** What routing needs to know of one upstream. */
-struct UpstreamState {
-    Standing standing = Standing::Healthy;
-    bool trialDue = false; ///< an idempotent request should be sent now as a trial (AttemptKind::Trial)
-    bool checkDue = false; ///< suspect, or a second opinion is wanted: the next idempotent request should go here
-    bool newConnection = false; ///< attempts should open a new connection
-    double share = 1; ///< share of normal traffic, below 1 while ramping
-    int inProgress = 0; ///< attempts running now
-    Duration unused{}; ///< since an attempt was last started
-    double severity = 0; ///< how bad it is
-
-    bool operator==(const UpstreamState &) const = default;
-};
-
 /** A decision for the log. */
 struct HealthChange {
     UpstreamId upstream;
@@ -103,7 +75,7 @@
         bool ejectedByFleet = false; ///< the coordinator owns the probation
         bool trialsHere = false; ///< the coordinator asked this holder to run the trials
         bool wantsEjection = false; ///< the evidence calls for it, whether or not the floor allows it
-        double ejectionSeverity = 0;
+        double severity = 0; ///< how bad it was when it was last seen at work
         bool draining = false;
         bool leaving = false;
         std::optional<TimePoint> coldUntil;
@@ -117,11 +89,14 @@
     };
 
     std::optional<std::size_t> indexOf(const UpstreamId &upstream) const;
-    bool isCold(TimePoint now, const Entry &entry) const;
-    bool isAvailable(TimePoint now, const Entry &entry) const;
-    bool isTrialAllowed(TimePoint now, const Entry &entry) const;
+    static bool isCold(TimePoint now, const Entry &entry);
+    static bool isAvailable(TimePoint now, const Entry &entry);
+    static bool isTrialAllowed(TimePoint now, const Entry &entry);
     void finishTrial(TimePoint now, std::size_t index, bool good, std::vector<HealthChange> &changes);
+    void endEjection(TimePoint now, std::size_t index, const std::string &reason, std::vector<HealthChange> &changes);
+    void updateWish(TimePoint now, std::size_t index);
     void applyFloor(TimePoint now, std::vector<HealthChange> &changes);
+    void applyVerdict(TimePoint now, const Verdict &verdict, std::vector<HealthChange> &changes);
     std::string describe(TimePoint now, std::size_t index) const;
 
     contract::ServicePolicy m_policy;
--- /dev/null
+++ b/src/health/localhealthview.cpp
@@ -0,0 +1,76 @@
+/** The part of LocalHealth that routing reads. */
+#include "health/localhealth.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** Checks of one suspect that may run at once. */
+constexpr int mostChecks = 4;
+/** Good answers within one report that settle a second opinion. */
+constexpr std::uint32_t enoughForOpinion = 5;
+/** Weight of failures and shed responses in the expected latency. */
+constexpr double failurePenalty = 4;
+constexpr double shedPenalty = 4;
+/** Latency that is assumed before the first answer; only its being equal for all upstreams matters. */
+constexpr Duration assumedLatency = std::chrono::milliseconds{10};
+
+} // namespace
+
+UpstreamState LocalHealth::stateOf(TimePoint now, const UpstreamId &upstream) const
+{
+    UpstreamState state;
+    const auto index = indexOf(upstream);
+    if (!index) {
+        state.standing = Standing::Leaving;
+        state.share = 0;
+        return state;
+    }
+    const auto &entry = m_entries[*index];
+    const auto score = m_detector.score(now, *index);
+    const bool suspect = m_detector.isSuspect(now, *index);
+    state.share = entry.probation.share(now);
+    state.inProgress = m_detector.inProgress(*index);
+    state.unused = now - entry.lastStarted;
+    state.severity = score.severity;
+    state.newConnection = m_detector.needsNewConnection(now, *index);
+    if (entry.leaving || entry.draining) {
+        state.standing = entry.leaving ? Standing::Leaving : Standing::Draining;
+        return state;
+    }
+    if (entry.probation.isEjected()) {
+        state.trialDue = isTrialAllowed(now, entry);
+        state.standing = state.trialDue ? Standing::Probation : Standing::Ejected;
+        return state;
+    }
+    const bool opinionWanted = now < entry.opinionUntil && entry.good < enoughForOpinion;
+    state.checkDue = (suspect || opinionWanted) && !entry.kept && state.inProgress < mostChecks && m_lastDispatched != *index;
+    if (isCold(now, entry)) {
+        state.standing = Standing::Cold;
+    } else if (suspect) {
+        state.standing = Standing::Suspect;
+    } else if (state.share < 1) {
+        state.standing = Standing::Ramping;
+    }
+    return state;
+}
+
+Duration LocalHealth::expectedLatency(const OperationId &operation, const UpstreamId &upstream) const
+{
+    const auto &baseline = m_detector.baseline();
+    const auto index = indexOf(upstream);
+    const auto median = baseline.median(operation).value_or(assumedLatency);
+    if (!index) {
+        return median;
+    }
+    const auto own = baseline.ownLatency(operation, *index).value_or(median);
+    const double failures = m_detector.failureShare(*index);
+    // The latency of failures is never learnt; on top of that, a failing upstream is taken to be no quicker than usual.
+    const auto usual = failures > 0.01 ? std::max(own, median) : own;
+    const double factor = 1 + failurePenalty * failures + shedPenalty * m_detector.shedShare(*index);
+    return fromSeconds(toSeconds(usual) * factor);
+}
+
+} // namespace jackdawdoor::health
--- /dev/null
+++ b/src/health/probation.cpp
@@ -0,0 +1,157 @@
+#include "health/probation.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** After a return, traffic grows from the first share to all of it in this time. */
+constexpr Duration rampTime = std::chrono::seconds{5};
+constexpr double firstShare = 0.1;
+/** A trial without a result by then has failed; shorter than longestWaitForTrial, so that a hanging trial is no missing one. */
+constexpr Duration trialPatience = std::chrono::seconds{5};
+/** Pause after a trial that said nothing, such as a shed one. */
+constexpr Duration inconclusivePause = std::chrono::seconds{1};
+/** Without an idempotent request for a trial within this time, the upstream returns through the ramp alone. */
+constexpr Duration longestWaitForTrial = std::chrono::seconds{10};
+/** Doubling beyond this number of relapses changes nothing, because the delay has reached its maximum. */
+constexpr std::uint32_t mostDoublings = 20;
+
+} // namespace
+
+Probation::Probation(const contract::HealthPolicy &policy)
+    : m_policy(policy)
+{
+}
+
+void Probation::eject(TimePoint now)
+{
+    if (m_ejected) {
+        return;
+    }
+    const bool relapse = m_everEjected && now - m_returned < 2 * m_policy.maximumProbationDelay;
+    m_relapses = relapse ? std::min(m_relapses + 1, mostDoublings) : 1;
+    m_ejected = true;
+    m_everEjected = true;
+    m_trialRunning = false;
+    m_trialsPassed = 0;
+    m_nextTrial = now + delay();
+}
+
+void Probation::resume(TimePoint now, std::uint32_t relapses, Duration remaining)
+{
+    if (!m_ejected || remaining > Duration::zero()) {
+        m_trialsPassed = 0;
+        m_trialRunning = false;
+    }
+    if (!m_ejected || remaining > Duration::zero() || m_nextTrial > now) {
+        m_nextTrial = now + remaining;
+    }
+    m_ejected = true;
+    m_everEjected = true;
+    m_relapses = std::clamp<std::uint32_t>(relapses, 1, mostDoublings);
+}
+
+void Probation::trialStarted(TimePoint now)
+{
+    m_trialRunning = true;
+    m_trialTimeout = now + trialPatience;
+}
+
+bool Probation::trialFinished(TimePoint now, bool good)
+{
+    m_trialRunning = false;
+    if (!m_ejected) {
+        return false;
+    }
+    if (good) {
+        ++m_trialsPassed;
+        m_nextTrial = now;
+        return m_trialsPassed >= static_cast<std::uint32_t>(m_policy.probationTrials);
+    }
+    m_trialsPassed = 0;
+    m_relapses = std::min(m_relapses + 1, mostDoublings);
+    m_nextTrial = now + delay();
+    return false;
+}
+
+void Probation::trialInconclusive(TimePoint now)
+{
+    m_trialRunning = false;
+    m_nextTrial = std::max(m_nextTrial, now + inconclusivePause);
+}
+
+void Probation::endEjection(TimePoint now)
+{
+    m_ejected = false;
+    m_trialRunning = false;
+    m_returned = now;
+    m_rampStart = now;
+}
+
+void Probation::release(TimePoint now)
+{
+    endEjection(now);
+    m_rampStart = now - rampTime;
+}
+
+bool Probation::isEjected() const
+{
+    return m_ejected;
+}
+
+bool Probation::isTrialDue(TimePoint now) const
+{
+    return m_ejected && now >= m_nextTrial && !m_trialRunning;
+}
+
+bool Probation::isTrialRunning() const
+{
+    return m_trialRunning;
+}
+
+bool Probation::hasTrialExpired(TimePoint now) const
+{
+    return m_trialRunning && now >= m_trialTimeout;
+}
+
+bool Probation::isTrialOverdue(TimePoint now) const
+{
+    return isTrialDue(now) && now - m_nextTrial >= longestWaitForTrial;
+}
+
+Duration Probation::remaining(TimePoint now) const
+{
+    return m_ejected ? std::max(Duration::zero(), m_nextTrial - now) : Duration::zero();
+}
+
+std::uint32_t Probation::relapses() const
+{
+    return m_relapses;
+}
+
+std::uint32_t Probation::trialsPassed() const
+{
+    return m_trialsPassed;
+}
+
+double Probation::share(TimePoint now) const
+{
+    if (m_ejected) {
+        return 0;
+    }
+    if (!m_everEjected || now - m_rampStart >= rampTime) {
+        return 1;
+    }
+    return firstShare + (1 - firstShare) * toSeconds(now - m_rampStart) / toSeconds(rampTime);
+}
+
+Duration Probation::delay() const
+{
+    const auto doublings = std::max<std::uint32_t>(m_relapses, 1) - 1;
+    const auto grown = m_policy.probationDelay.count() << std::min<std::uint32_t>(doublings, mostDoublings);
+    return std::min(Duration{grown}, std::max(m_policy.maximumProbationDelay, m_policy.probationDelay));
+}
+
+} // namespace jackdawdoor::health
--- a/src/health/probation.h
+++ b/src/health/probation.h
@@ -20,12 +20,15 @@
     /** Continues an ejection that another instance began. */
     void resume(TimePoint now, std::uint32_t relapses, Duration remaining);
 
-    /** A trial was sent; the next one is due after its result or after a timeout. */
+    /** A trial was sent; the next one is due after its result. */
     void trialStarted(TimePoint now);
 
     /** Result of a trial. Returns true when the upstream passed its probation by it. */
     bool trialFinished(TimePoint now, bool good);
 
+    /** A trial ended without saying anything, for example because it was shed. */
+    void trialInconclusive(TimePoint now);
+
     /** Ends the ejection and starts the ramp. */
     void endEjection(TimePoint now);
 
@@ -34,6 +37,11 @@
 
     bool isEjected() const;
     bool isTrialDue(TimePoint now) const;
+    bool isTrialRunning() const;
+    /** The result of a trial did not come in time; it counts as failed. */
+    bool hasTrialExpired(TimePoint now) const;
+    /** No request that may serve as a trial came for long; the ramp alone must do. */
+    bool isTrialOverdue(TimePoint now) const;
     Duration remaining(TimePoint now) const;
     std::uint32_t relapses() const;
     std::uint32_t trialsPassed() const;
@@ -52,6 +60,7 @@
     TimePoint m_nextTrial;
     TimePoint m_trialTimeout;
     TimePoint m_returned;
+    TimePoint m_rampStart;
     bool m_everEjected = false;
 };
 
--- /dev/null
+++ b/src/health/slownesstest.cpp
@@ -0,0 +1,43 @@
+#include "health/slownesstest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+constexpr double toleratedSlowness = 2.0;
+/** With a slow ratio near the tolerated slowness the two hypotheses would coincide; this keeps them apart. */
+constexpr double largestToleratedPart = 0.65;
+
+double upperTail(double standardised)
+{
+    return std::max(0.5 * std::erfc(standardised / std::sqrt(2.0)), 1e-12);
+}
+
+} // namespace
+
+SlownessTest::SlownessTest(double slowRatio)
+    : m_slow(std::log(std::max(slowRatio, 1.1)))
+    , m_tolerated(std::min(std::log(toleratedSlowness), largestToleratedPart * m_slow))
+    , m_gray(2 * m_slow - m_tolerated)
+{
+}
+
+double SlownessTest::finishedRatio(double excess, double spread) const
+{
+    const double ratio = (m_gray - m_tolerated) / (spread * spread) * (excess - m_slow);
+    return std::clamp(ratio, -largestStep, largestStep);
+}
+
+double SlownessTest::runningRatio(double excess, double spread) const
+{
+    if (excess < m_slow) {
+        return 0;
+    }
+    const double ratio = std::log(upperTail((excess - m_gray) / spread) / upperTail((excess - m_tolerated) / spread));
+    return std::clamp(ratio, 0.0, largestStep);
+}
+
+} // namespace jackdawdoor::health
--- a/src/health/verdict.h
+++ b/src/health/verdict.h
@@ -26,6 +26,7 @@
     InstanceId instance; ///< whom Trial and SecondOpinion address; empty otherwise
     Duration remaining{}; ///< until the first trial; zero when it does not apply
     std::uint32_t relapses = 0; ///< times ejected in close succession
+    double severity = 0; ///< how bad the holders found it; orders upstreams when a holder's floor binds
     bool floorBound = false; ///< more upstreams of this service would be ejected if the floor allowed it
 
     bool operator==(const Verdict &) const = default;
--- /dev/null
+++ b/src/limits/requestqueue.cpp
@@ -0,0 +1,176 @@
+#include "limits/requestqueue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace jackdawdoor::limits {
+
+namespace {
+
+/** Deficit that an organisation gains with each of its turns; a request of cost 1 can always be served then. */
+constexpr int quantum = 1;
+/** Bounds the turns that pop() makes to reach an expensive request. */
+constexpr int largestCost = 64;
+/** Weight of the newest interval in the moving mean of the service time. */
+constexpr double serviceWeight = 0.1;
+/** A pause this many times longer than the usual interval shows that the service has become slower. */
+constexpr double unusualPause = 4;
+
+} // namespace
+
+RequestQueue::RequestQueue(std::size_t bound)
+    : m_bound(bound)
+{
+}
+
+PushResult RequestQueue::push(TimePoint now, const QueuedRequest &request)
+{
+    PushResult result;
+    if (m_byId.empty()) {
+        m_lastServed = now;
+    }
+    result.expectedWait = waitFor(now, aheadOf(request));
+    if (now + result.expectedWait >= request.deadline) {
+        result.admission = QueueAdmission::DeadlineTooShort;
+        return result;
+    }
+    if (m_byId.size() >= m_bound) {
+        result.displaced = displaceFor(request);
+        if (!result.displaced) {
+            result.admission = QueueAdmission::QueueFull;
+            return result;
+        }
+    }
+    auto found = m_byName.find(request.organisation);
+    if (found == m_byName.end()) {
+        m_turns.push_back({request.organisation, {}, 0, false});
+        found = m_byName.emplace(request.organisation, std::prev(m_turns.end())).first;
+    }
+    const Order order{request.deadline, m_nextArrival++};
+    auto stored = request;
+    stored.cost = std::clamp(request.cost, 1, largestCost);
+    found->second->items.insert({order, std::move(stored)});
+    m_byId.emplace(request.id, std::pair{request.organisation, order});
+    m_byDeadline.emplace(request.deadline, request.id);
+    return result;
+}
+
+std::optional<QueuedRequest> RequestQueue::pop(TimePoint now)
+{
+    std::size_t withoutLiveRequest = 0;
+    while (withoutLiveRequest < m_turns.size()) {
+        auto &organisation = m_turns.front();
+        const auto item = organisation.items.upper_bound({{now, std::numeric_limits<std::uint64_t>::max()}, {}});
+        const bool live = item != organisation.items.end();
+        if (live && !organisation.inTurn) {
+            organisation.inTurn = true;
+            organisation.deficit += quantum;
+        }
+        if (live && organisation.deficit >= item->request.cost) {
+            organisation.deficit -= item->request.cost;
+            return take(m_turns.begin(), item);
+        }
+        withoutLiveRequest = live ? 0 : withoutLiveRequest + 1;
+        organisation.inTurn = false;
+        m_turns.splice(m_turns.end(), m_turns, m_turns.begin());
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint64_t> RequestQueue::takeExpired(TimePoint now)
+{
+    std::vector<std::uint64_t> expired;
+    while (!m_byDeadline.empty() && m_byDeadline.begin()->first <= now) {
+        expired.push_back(m_byDeadline.begin()->second);
+        remove(expired.back());
+    }
+    return expired;
+}
+
+bool RequestQueue::remove(std::uint64_t id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end()) {
+        return false;
+    }
+    const auto turn = m_byName.find(found->second.first)->second;
+    take(turn, turn->items.find({found->second.second, {}}));
+    return true;
+}
+
+QueuedRequest RequestQueue::take(Turn turn, std::set<Item>::iterator item)
+{
+    auto request = item->request;
+    turn->items.erase(item);
+    m_byId.erase(request.id);
+    m_byDeadline.erase({request.deadline, request.id});
+    if (turn->items.empty()) {
+        m_byName.erase(turn->name);
+        m_turns.erase(turn);
+    }
+    return request;
+}
+
+void RequestQueue::onServed(TimePoint now)
+{
+    // Intervals without waiting requests show how few came, not how fast they are served.
+    if (!m_byId.empty() && m_lastServed) {
+        const double interval = toSeconds(now - *m_lastServed);
+        const double weight = m_secondsPerRequest == 0 ? 1 : serviceWeight;
+        m_secondsPerRequest += weight * (interval - m_secondsPerRequest);
+    }
+    m_lastServed = now;
+}
+
+std::size_t RequestQueue::size() const
+{
+    return m_byId.size();
+}
+
+Duration RequestQueue::expectedWait(TimePoint now) const
+{
+    return waitFor(now, m_turns.size());
+}
+
+std::size_t RequestQueue::aheadOf(const QueuedRequest &request) const
+{
+    std::size_t ownAhead = 0;
+    if (const auto found = m_byName.find(request.organisation); found != m_byName.end()) {
+        const auto &items = found->second->items;
+        const auto position = items.upper_bound({{request.deadline, std::numeric_limits<std::uint64_t>::max()}, {}});
+        ownAhead = static_cast<std::size_t>(std::distance(items.begin(), position));
+    }
+    std::size_t ahead = ownAhead;
+    for (const auto &organisation : m_turns) {
+        if (organisation.name != request.organisation) {
+            ahead += std::min(organisation.items.size(), ownAhead + 1);
+        }
+    }
+    return ahead;
+}
+
+Duration RequestQueue::waitFor(TimePoint now, std::size_t requestsAhead) const
+{
+    double perRequest = m_secondsPerRequest;
+    if (!m_byId.empty() && m_lastServed) {
+        perRequest = std::max(perRequest, toSeconds(now - *m_lastServed) / unusualPause);
+    }
+    return fromSeconds(perRequest * static_cast<double>(requestsAhead + 1));
+}
+
+std::optional<std::uint64_t> RequestQueue::displaceFor(const QueuedRequest &request)
+{
+    const auto longest = std::max_element(m_turns.begin(), m_turns.end(), [](const Organisation &left, const Organisation &right) {
+        return left.items.size() < right.items.size();
+    });
+    const auto own = m_byName.find(request.organisation);
+    const std::size_t ownSize = own == m_byName.end() ? 0 : own->second->items.size();
+    // Displacing from an organisation with one request more would only exchange their places.
+    if (longest == m_turns.end() || ownSize + 1 >= longest->items.size()) {
+        return std::nullopt;
+    }
+    return take(longest, std::prev(longest->items.end())).id;
+}
+
+} // namespace jackdawdoor::limits
--- a/src/limits/requestqueue.h
+++ b/src/limits/requestqueue.h
@@ -28,7 +28,7 @@
 /** Whether a request was queued. */
 enum class QueueAdmission {
     Admitted,
-    QueueFull, ///< no room, and its organisation already has at least as many waiting as any other
+    QueueFull, ///< no room, and no other organisation has at least two more waiting than its own
     DeadlineTooShort, ///< at the present service rate it would be dispatched too late
 };
 
@@ -67,7 +67,7 @@
     std::size_t size() const;
 
     /** Expected wait of a further request of an organisation with no other one waiting. */
-    Duration expectedWait() const;
+    Duration expectedWait(TimePoint now) const;
 
 private:
     struct Order {
@@ -87,11 +87,12 @@
         std::string name;
         std::set<Item> items;
         int deficit = 0;
+        bool inTurn = false; ///< it was given its quantum and may still use it
     };
     using Turn = std::list<Organisation>::iterator;
 
     std::size_t aheadOf(const QueuedRequest &request) const;
-    Duration waitFor(std::size_t requestsAhead) const;
+    Duration waitFor(TimePoint now, std::size_t requestsAhead) const;
     std::optional<std::uint64_t> displaceFor(const QueuedRequest &request);
     QueuedRequest take(Turn turn, std::set<Item>::iterator item);
 
--- a/src/limits/slotholder.h
+++ b/src/limits/slotholder.h
@@ -70,7 +70,7 @@
     Target *find(const UpstreamId &upstream);
     const Target *find(const UpstreamId &upstream) const;
     bool isDue(TimePoint now) const;
-    int wanted(const Target &target, int backlogShare) const;
+    static int wanted(const Target &target, int backlogShare);
     void rebuildIndex();
 
     PolicyLayouts m_layouts;
--- a/src/limits/slotledger.h
+++ b/src/limits/slotledger.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace jackdawdoor::limits {
@@ -62,12 +63,13 @@
     };
 
     Duration holdTime() const;
-    int committedTo(TimePoint now, const Holder &holder, std::size_t target) const;
+    static int committedTo(TimePoint now, const Holder &holder, std::size_t target);
     int committedToOthers(TimePoint now, const InstanceRef &holder, std::size_t target) const;
     int fairShare(TimePoint now, const InstanceRef &holder, std::size_t target) const;
     void book(TimePoint now, Holder &holder, const SlotDemand &demand, std::vector<int> &held);
-    void setLeasable(TimePoint now, Target &target, int slots);
-    int leasableNow(TimePoint now, const Target &target) const;
+    void setLeasable(TimePoint now, Target &target, int slots) const;
+    static int leasableNow(TimePoint now, const Target &target);
+    std::optional<std::size_t> indexOf(const UpstreamId &upstream) const;
 
     contract::ServicePolicy m_policy;
     PolicyLayouts m_layouts;
--- /dev/null
+++ b/src/routing/chooseupstream.cpp
@@ -0,0 +1,246 @@
+#include "routing/chooseupstream.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::routing {
+
+namespace {
+
+using health::Standing;
+
+/** An upstream without a request for this long is used next: a fault that no request meets cannot be detected. */
+constexpr Duration longestUnused = std::chrono::milliseconds{150};
+
+/** Builds the decision step by step; each step may settle it. */
+class Choice
+{
+public:
+    Choice(const RoutingRequest &request, const std::vector<RoutingCandidate> &candidates, RandomSource &random)
+        : m_request(request)
+        , m_candidates(candidates)
+        , m_random(random)
+        , m_reasons(candidates.size(), PassedOverReason::NotDrawn)
+    {
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            classify(index);
+        }
+    }
+
+    RoutingDecision decide()
+    {
+        if (m_request.idempotent && chooseFirst(m_trials, ChoiceReason::Trial)) {
+            m_decision.kind = health::AttemptKind::Trial;
+            m_decision.newConnection = true;
+        } else if (m_request.idempotent && chooseFirst(m_checks, ChoiceReason::Check)) {
+        } else if (chooseUnused() || chooseShorterWait()) {
+        } else {
+            chooseLastResort();
+        }
+        return finish();
+    }
+
+private:
+    void classify(std::size_t index)
+    {
+        const auto &candidate = m_candidates[index];
+        const auto standing = candidate.state.standing;
+        const auto &excluded = m_request.excluded;
+        if (std::find(excluded.begin(), excluded.end(), candidate.upstream) != excluded.end()) {
+            m_reasons[index] = PassedOverReason::Excluded;
+        } else if (standing == Standing::Draining || standing == Standing::Leaving) {
+            m_reasons[index] = standing == Standing::Draining ? PassedOverReason::Draining : PassedOverReason::Leaving;
+        } else if (standing == Standing::Ejected || standing == Standing::Probation) {
+            m_reasons[index] = PassedOverReason::Ejected;
+            if (candidate.state.trialDue && candidate.freeSlots > 0) {
+                m_trials.push_back(index);
+            }
+        } else if (candidate.freeSlots <= 0) {
+            m_reasons[index] = PassedOverReason::NoSlot;
+            m_withoutSlot = true;
+        } else {
+            classifyUsable(index);
+        }
+    }
+
+    void classifyUsable(std::size_t index)
+    {
+        const auto &state = m_candidates[index].state;
+        if (state.checkDue) {
+            m_checks.push_back(index);
+        }
+        if (state.standing == Standing::Suspect) {
+            m_reasons[index] = PassedOverReason::Suspect;
+            m_lastResort.push_back(index);
+        } else if (state.share < 1 && uniform(m_random) >= state.share) {
+            m_reasons[index] = PassedOverReason::Ramping;
+            m_lastResort.push_back(index);
+        } else {
+            m_usable.push_back(index);
+        }
+    }
+
+    std::size_t draw(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t>{0, bound - 1}(m_random);
+    }
+
+    bool chooseFirst(const std::vector<std::size_t> &among, ChoiceReason reason)
+    {
+        if (among.empty()) {
+            return false;
+        }
+        choose(among[draw(among.size())], reason);
+        return true;
+    }
+
+    bool chooseUnused()
+    {
+        const auto longest = std::max_element(m_usable.begin(), m_usable.end(), [this](std::size_t left, std::size_t right) {
+            return m_candidates[left].state.unused < m_candidates[right].state.unused;
+        });
+        if (longest == m_usable.end()) {
+            return false;
+        }
+        const auto &state = m_candidates[*longest].state;
+        if (state.unused < longestUnused || state.inProgress > 0 || state.share < 1) {
+            return false;
+        }
+        choose(*longest, ChoiceReason::Unused);
+        return true;
+    }
+
+    double expectedWait(std::size_t index) const
+    {
+        const auto &candidate = m_candidates[index];
+        return toSeconds(candidate.expectedLatency) * (candidate.state.inProgress + 1) / std::max(candidate.state.share, 0.01);
+    }
+
+    bool chooseShorterWait()
+    {
+        if (m_usable.empty()) {
+            return false;
+        }
+        if (m_usable.size() == 1) {
+            choose(m_usable.front(), ChoiceReason::OnlyOne);
+            return true;
+        }
+        const auto first = draw(m_usable.size());
+        auto second = draw(m_usable.size() - 1);
+        second += second >= first ? 1 : 0;
+        const bool firstIsBetter = expectedWait(m_usable[first]) <= expectedWait(m_usable[second]);
+        choose(m_usable[firstIsBetter ? first : second], ChoiceReason::ShorterWait);
+        m_reasons[m_usable[firstIsBetter ? second : first]] = PassedOverReason::LongerWait;
+        return true;
+    }
+
+    void chooseLastResort()
+    {
+        const auto least = std::min_element(m_lastResort.begin(), m_lastResort.end(), [this](std::size_t left, std::size_t right) {
+            return m_candidates[left].state.severity < m_candidates[right].state.severity;
+        });
+        if (least != m_lastResort.end()) {
+            choose(*least, ChoiceReason::LastResort);
+        } else {
+            m_decision.reason = m_withoutSlot ? ChoiceReason::NoSlot : ChoiceReason::NoUpstream;
+        }
+    }
+
+    void choose(std::size_t index, ChoiceReason reason)
+    {
+        m_decision.choice = index;
+        m_decision.reason = reason;
+        m_decision.newConnection = m_candidates[index].state.newConnection;
+    }
+
+    RoutingDecision finish()
+    {
+        m_decision.passedOver.reserve(m_candidates.size());
+        for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+            if (index != m_decision.choice) {
+                m_decision.passedOver.push_back({index, m_reasons[index]});
+            }
+        }
+        return std::move(m_decision);
+    }
+
+    const RoutingRequest &m_request;
+    const std::vector<RoutingCandidate> &m_candidates;
+    RandomSource &m_random;
+    RoutingDecision m_decision;
+    std::vector<PassedOverReason> m_reasons;
+    std::vector<std::size_t> m_trials;
+    std::vector<std::size_t> m_checks;
+    std::vector<std::size_t> m_usable;
+    std::vector<std::size_t> m_lastResort;
+    bool m_withoutSlot = false;
+};
+
+} // namespace
+
+RoutingDecision
+chooseUpstream(TimePoint /*now*/, const RoutingRequest &request, const std::vector<RoutingCandidate> &candidates, RandomSource &random)
+{
+    return Choice{request, candidates, random}.decide();
+}
+
+std::string reasonName(ChoiceReason reason)
+{
+    switch (reason) {
+    case ChoiceReason::Trial:
+        return "trial";
+    case ChoiceReason::Check:
+        return "check";
+    case ChoiceReason::Unused:
+        return "unused";
+    case ChoiceReason::ShorterWait:
+        return "shorter-wait";
+    case ChoiceReason::OnlyOne:
+        return "only-one";
+    case ChoiceReason::LastResort:
+        return "last-resort";
+    case ChoiceReason::NoSlot:
+        return "no-slot";
+    case ChoiceReason::NoUpstream:
+        return "no-upstream";
+    }
+    return "unknown";
+}
+
+std::string reasonName(PassedOverReason reason)
+{
+    switch (reason) {
+    case PassedOverReason::Excluded:
+        return "excluded";
+    case PassedOverReason::Ejected:
+        return "ejected";
+    case PassedOverReason::Draining:
+        return "draining";
+    case PassedOverReason::Leaving:
+        return "leaving";
+    case PassedOverReason::NoSlot:
+        return "no-slot";
+    case PassedOverReason::Suspect:
+        return "suspect";
+    case PassedOverReason::Ramping:
+        return "ramping";
+    case PassedOverReason::LongerWait:
+        return "longer-wait";
+    case PassedOverReason::NotDrawn:
+        return "not-drawn";
+    }
+    return "unknown";
+}
+
+std::string describePassedOver(const RoutingDecision &decision, const std::vector<RoutingCandidate> &candidates)
+{
+    std::string text;
+    for (const auto &passed : decision.passedOver) {
+        if (!text.empty()) {
+            text += ", ";
+        }
+        text += candidates[passed.candidate].upstream.value + " " + reasonName(passed.reason);
+    }
+    return text;
+}
+
+} // namespace jackdawdoor::routing
