--- /dev/null
+++ b/src/idempotency/base64url.h
@@ -0,0 +1,18 @@
+/** Canonical base64url (RFC 4648 section 5) without padding. */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jackdawdoor::idempotency::detail {
+
+/** Whether the character belongs to the base64url alphabet. */
+bool isBase64Url(char character);
+
+std::string encodeBase64Url(std::string_view bytes);
+
+/** Nothing if a character is foreign, the length is impossible, or unused bits are not zero. */
+std::optional<std::string> decodeBase64Url(std::string_view text);
+
+} // namespace jackdawdoor::idempotency::detail
--- a/src/idempotency/crashsuspects.h
+++ b/src/idempotency/crashsuspects.h
@@ -16,10 +16,15 @@
  * Health: a crash counts against its upstream unless a suspect from an earlier crash of another upstream was in flight.
  * On a conviction the earlier crash is retracted.
  *
- * Memory is bounded. When the table is full, the oldest suspect of the source (organisation) with the most suspects is
- * dropped, so one organisation that produces many fingerprints displaces its own suspects first. A convicted
- * fingerprint is dropped before its time only when there is no unconvicted one of that source. Each new suspect costs
- * an attacker a share of a crashed upstream, and one crash yields no more suspects than the upstream has slots.
+ * Memory is bounded. A full table drops the oldest suspect of the source (organisation) with the most suspects, so one
+ * organisation that produces many fingerprints displaces its own first. Convictions are dropped before their time only
+ * when the table holds nothing else. Each new suspect costs an attacker a share of a crashed upstream, since one crash
+ * yields no more suspects than the upstream has slots; displacing a conviction costs two crashes for each entry.
+ *
+ * Limits: a trial is alone among the requests of this instance. A request that another instance sends to the same
+ * upstream can crash it during the trial; the bystander is then refused for the conviction time or until a copy of it
+ * completes. Clearances are remembered for clearanceMemory; a report delayed for longer makes a cleared fingerprint a
+ * suspect again, which costs one exclusive trial.
  */
 #pragma once
 
@@ -39,7 +44,8 @@
 struct SuspectLimits {
     std::size_t maximumEntries = 4096;
     Duration suspicionTime = std::chrono::minutes{2}; ///< a suspect not seen at a crash again is forgotten
-    Duration convictionTime = std::chrono::minutes{10}; ///< then the request may be tried again, as a suspect
+    Duration convictionTime = std::chrono::minutes{10}; ///< then the fingerprint is forgotten
+    Duration clearanceMemory = std::chrono::seconds{15}; ///< guards against late reports from before the clearance
     Duration trialTime = std::chrono::seconds{60}; ///< a trial whose end is not reported ends by itself
 };
 
@@ -107,20 +113,27 @@
         std::uint32_t clearances = 0;
         std::vector<UpstreamId> upstreams; ///< sorted, at most two; empty: cleared
         TimePoint expires; ///< end of suspicion, conviction or memory of the clearance
-        TimePoint trialEnds; ///< a trial runs before this time
-        UpstreamId trialUpstream;
 
         bool convicted() const;
     };
+    struct Trial {
+        std::uint64_t fingerprint = 0;
+        UpstreamId upstream;
+        TimePoint ends;
+    };
+    using Entries = absl::flat_hash_map<std::uint64_t, Entry>;
 
     const Entry *findLive(TimePoint now, std::uint64_t fingerprint) const;
-    Entry *findOrAdd(TimePoint now, const InFlightRequest &request);
+    Entry &findOrAdd(TimePoint now, std::uint64_t fingerprint, std::uint64_t source);
+    bool suspectedElsewhere(TimePoint now, std::uint64_t fingerprint, const UpstreamId &upstream) const;
     bool addUpstream(TimePoint now, Entry &entry, const UpstreamId &upstream);
-    bool makeRoom(TimePoint now);
-    SuspectReport report(std::uint64_t fingerprint, const Entry &entry) const;
+    bool trialRunning(TimePoint now, std::uint64_t fingerprint) const;
+    void makeRoom(TimePoint now);
+    Entries::iterator entryToDrop(TimePoint now);
 
     SuspectLimits m_limits;
-    absl::flat_hash_map<std::uint64_t, Entry> m_entries;
+    Entries m_entries;
+    std::vector<Trial> m_trials; ///< few: at most one for each upstream
 };
 
 /** The holder that runs the exclusive trial of a fingerprint. `holders` is not empty. */
--- a/src/idempotency/homekeys.h
+++ b/src/idempotency/homekeys.h
@@ -99,7 +99,7 @@
 /** What becomes of a key whose attempt provably did not run. */
 enum class NotRunNext {
     RetryNow, ///< the same request is tried again: the key is Ready
-    LeaveOpen, ///< its caller is gone without an answer: a resend may run it
+    LeaveOpen, ///< no request waits for the key and no answer was given: a resend may run it
     Close, ///< the caller is told "not run"
 };
 
@@ -161,14 +161,18 @@
 private:
     using Table = std::unordered_map<std::string, HomeEntry>;
 
-    TimePoint advance(TimePoint now);
+    void advance(TimePoint now);
     HomeEntry *find(const std::string &key);
-    Admission admitPresent(HomeEntry &entry, std::uint64_t fingerprint);
-    AdmitResult admitAbsent(const IdempotencyKey &key, std::string text, std::uint64_t fingerprint, TicketAge age);
-    KeyOutcome outcomeOfAbsent(const std::string &text, const Ticket &ticket, TicketAge age);
+    HomeEntry &insert(const IdempotencyKey &key, const std::string &text, std::uint64_t fingerprint, KeyState state);
+    Admission admitPresent(HomeEntry &entry, std::uint64_t fingerprint, TicketAge age, HomeStep &step);
+    Admission admitAbsent(const IdempotencyKey &key, const std::string &text, std::uint64_t fingerprint, TicketAge age, HomeStep &step);
+    void closeAbsent(const IdempotencyKey &key, const std::string &text);
+    void setState(HomeEntry &entry, KeyState state);
     void close(HomeEntry &entry, KeyRefusal reason, HomeStep &step);
-    void finish(HomeEntry &entry, KeyState state, HomeStep &step);
-    void queueUpdate(HomeEntry &entry, HomeStep &step);
+    void refuseWaiting(HomeEntry &entry, KeyRefusal reason, HomeStep &step);
+    void sendRecord(HomeEntry &entry, HomeStep &step);
+    void sendUpdate(HomeEntry &entry, HomeStep &step);
+    void store(HomeEntry &entry, StoredAnswer answer);
     void onRecorded(const InstanceRef &from, const Recorded &message, HomeStep &step);
     void onRefused(const InstanceRef &from, const Refused &message, HomeStep &step);
     void onReply(const InstanceRef &from, const Reply &message);
@@ -184,7 +188,7 @@
     ClosedKeyFilter m_closedWhileFull;
     Table m_table;
     std::multimap<TimePoint, const std::string *> m_dropOrder; ///< pointers to the keys of m_table
-    std::multimap<TimePoint, const std::string *> m_retries; ///< keys with an unanswered record or update
+    std::multimap<TimePoint, std::string> m_retries; ///< keys with an unanswered record or update
     std::size_t m_storedBytes = 0;
     std::size_t m_unfinished = 0; ///< keys that are Pending, Ready or Running
     bool m_stopping = false;
--- a/src/idempotency/idempotencymessage.h
+++ b/src/idempotency/idempotencymessage.h
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <concepts>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -138,22 +139,34 @@
                                         HandoverConfirmed,
                                         SuspectReport>;
 
+namespace detail {
+nlohmann::json keyToJson(const IdempotencyKey &key);
+IdempotencyKey keyFromJson(const nlohmann::json &json);
+} // namespace detail
+
+/** Messages that consist of a key. */
+template <typename Message>
+concept KeyMessage = std::same_as<Message, Recorded> || std::same_as<Message, Refused> || std::same_as<Message, Close> || std::
+    same_as<Message, Closed> || std::same_as<Message, Query>;
+
+template <KeyMessage Message>
+void to_json(nlohmann::json &json, const Message &message)
+{
+    json = detail::keyToJson(message.key);
+}
+
+template <KeyMessage Message>
+void from_json(const nlohmann::json &json, Message &message)
+{
+    message.key = detail::keyFromJson(json);
+}
+
 void to_json(nlohmann::json &json, const KeyOutcome &outcome);
 void from_json(const nlohmann::json &json, KeyOutcome &outcome);
 void to_json(nlohmann::json &json, const Record &message);
 void from_json(const nlohmann::json &json, Record &message);
-void to_json(nlohmann::json &json, const Recorded &message);
-void from_json(const nlohmann::json &json, Recorded &message);
-void to_json(nlohmann::json &json, const Refused &message);
-void from_json(const nlohmann::json &json, Refused &message);
-void to_json(nlohmann::json &json, const Close &message);
-void from_json(const nlohmann::json &json, Close &message);
-void to_json(nlohmann::json &json, const Closed &message);
-void from_json(const nlohmann::json &json, Closed &message);
 void to_json(nlohmann::json &json, const OutcomeUpdate &message);
 void from_json(const nlohmann::json &json, OutcomeUpdate &message);
-void to_json(nlohmann::json &json, const Query &message);
-void from_json(const nlohmann::json &json, Query &message);
 void to_json(nlohmann::json &json, const Reply &message);
 void from_json(const nlohmann::json &json, Reply &message);
 void to_json(nlohmann::json &json, const HandoverEntry &entry);
--- a/src/idempotency/keyoutcome.h
+++ b/src/idempotency/keyoutcome.h
@@ -1,6 +1,7 @@
 /** What is known about the work behind an idempotency key. */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -25,6 +26,9 @@
     NotResponsible, ///< the instance asked is not the incarnation named by the ticket and knows nothing
 };
 
+/** Rank by which an outcome replaces an earlier one, so that reordered updates end in the same state. 0: no outcome. */
+int finality(OutcomeKind kind);
+
 /** State of a key with its answer. */
 struct KeyOutcome {
     OutcomeKind kind = OutcomeKind::Unknown;
@@ -42,6 +46,7 @@
     WitnessUnreachable, ///< the witness did not confirm in time; the key is closed
     WitnessRefused, ///< the witness had closed the key, was full, or is a later incarnation; the key is closed
     Stopping, ///< the home is stopping
+    Paused, ///< the home was paused before the dispatch; the key is closed
     OutcomeUnknown, ///< an attempt ended without proof that it did not run
     KeyReused, ///< the key was used before for a request with another fingerprint
 };
--- a/src/idempotency/outcomeresolver.h
+++ b/src/idempotency/outcomeresolver.h
@@ -90,7 +90,9 @@
 
     ResolverStep askHome(TimePoint now);
     ResolverStep askWitness(TimePoint now);
-    ResolverStep resend(TimePoint now);
+    ResolverStep send(TimePoint now);
+    ResolverStep onClosed(const InstanceRef &from);
+    ResolverStep onReply(TimePoint now, const InstanceRef &from, const KeyOutcome &outcome);
     ResolverStep finish(KeyOutcome outcome);
 
     IdempotencyKey m_key;
--- a/src/idempotency/tablehandover.h
+++ b/src/idempotency/tablehandover.h
@@ -43,6 +43,7 @@
     };
     struct Receiver {
         std::vector<Part> parts;
+        std::size_t lastPartBytes = 0; ///< bodies in the last part
         bool confirmed = false; ///< the completion is confirmed
         TimePoint nextSend; ///< of the completion
 
--- /dev/null
+++ b/src/idempotency/witnesskeys.cpp
@@ -0,0 +1,170 @@
+#include "idempotency/witnesskeys.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::idempotency {
+
+namespace {
+
+/** How long a completed handover is remembered. Forgetting it is safe: keys are then closed one by one again. */
+constexpr Duration completionMemory = std::chrono::hours{1};
+
+/** What the witness says about a key that it has: recorded without an outcome is unknown. */
+KeyOutcome told(const KeyOutcome &outcome)
+{
+    KeyOutcome told = outcome;
+    if (told.kind == OutcomeKind::InProgress) {
+        told.kind = OutcomeKind::Unknown;
+    }
+    return told;
+}
+
+Reply replyOf(const IdempotencyKey &key, OutcomeKind kind)
+{
+    return Reply{key, KeyOutcome{kind, 0, {}}};
+}
+
+} // namespace
+
+WitnessKeys::WitnessKeys(InstanceRef self, KeyLimits limits)
+    : m_self(std::move(self))
+    , m_limits(limits)
+    , m_clocks(m_limits.expiryMargin, m_limits.maximumIssuers)
+{
+}
+
+std::vector<Outgoing<IdempotencyMessage>> WitnessKeys::onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message)
+{
+    m_now = std::max(m_now, now);
+    // Only the home itself may record its keys and report their outcomes.
+    if (const auto *record = std::get_if<Record>(&message); record != nullptr && from == record->key.ticket.home) {
+        return {{from, onRecord(*record)}};
+    }
+    if (const auto *update = std::get_if<OutcomeUpdate>(&message); update != nullptr && from == update->key.ticket.home) {
+        return {{from, onUpdate(update->key, update->outcome)}};
+    }
+    if (const auto *close = std::get_if<Close>(&message)) {
+        return {{from, onClose(*close)}};
+    }
+    if (const auto *query = std::get_if<Query>(&message)) {
+        return {{from, onQuery(*query)}};
+    }
+    if (const auto *chunk = std::get_if<HandoverChunk>(&message); chunk != nullptr && from == chunk->home) {
+        return onChunk(from, *chunk);
+    }
+    if (const auto *complete = std::get_if<HandoverComplete>(&message); complete != nullptr && from == complete->home) {
+        return onComplete(from, *complete);
+    }
+    return {};
+}
+
+IdempotencyMessage WitnessKeys::onRecord(const Record &message)
+{
+    if (!keyIsMine(message.key)) {
+        return Refused{message.key};
+    }
+    const TicketAge age = m_clocks.judge(m_now, message.key.ticket);
+    const std::string text = message.key.encode();
+    if (const Mark *mark = findMark(message.key, text)) {
+        if (mark->outcome.kind == OutcomeKind::NotRun) {
+            return Refused{message.key};
+        }
+        return Recorded{message.key};
+    }
+    const bool mayRecord = age == TicketAge::Valid && !answersFor(message.key.ticket.home);
+    if (mayRecord && addMark(message.key, text, KeyOutcome{OutcomeKind::InProgress, message.fingerprint, {}}) != nullptr) {
+        return Recorded{message.key};
+    }
+    return Refused{message.key};
+}
+
+IdempotencyMessage WitnessKeys::onClose(const Close &message)
+{
+    if (!keyIsMine(message.key)) {
+        return replyOf(message.key, OutcomeKind::NotResponsible);
+    }
+    const TicketAge age = m_clocks.judge(m_now, message.key.ticket);
+    const std::string text = message.key.encode();
+    if (const Mark *mark = findMark(message.key, text)) {
+        if (mark->outcome.kind == OutcomeKind::NotRun) {
+            return Closed{message.key};
+        }
+        return Reply{message.key, told(mark->outcome)};
+    }
+    if (age == TicketAge::Forgotten) {
+        return replyOf(message.key, OutcomeKind::Unknown);
+    }
+    // Records of an expired ticket or of a handed over home are refused without a mark.
+    const bool refusedAnyway = age == TicketAge::Expired || answersFor(message.key.ticket.home);
+    if (refusedAnyway || addMark(message.key, text, KeyOutcome{OutcomeKind::NotRun, 0, {}}) != nullptr) {
+        return Closed{message.key};
+    }
+    return replyOf(message.key, OutcomeKind::Unknown);
+}
+
+IdempotencyMessage WitnessKeys::onQuery(const Query &message)
+{
+    if (!keyIsMine(message.key)) {
+        return replyOf(message.key, OutcomeKind::NotResponsible);
+    }
+    const Mark *mark = findMark(message.key, message.key.encode());
+    if (mark == nullptr) {
+        return replyOf(message.key, OutcomeKind::Unknown);
+    }
+    return Reply{message.key, told(mark->outcome)};
+}
+
+IdempotencyMessage WitnessKeys::onUpdate(const IdempotencyKey &key, const KeyOutcome &outcome)
+{
+    if (!keyIsMine(key)) {
+        return replyOf(key, OutcomeKind::NotResponsible);
+    }
+    if (finality(outcome.kind) > 0) {
+        const TicketAge age = m_clocks.judge(m_now, key.ticket);
+        const std::string text = key.encode();
+        Mark *mark = findMark(key, text);
+        if (mark == nullptr && age != TicketAge::Forgotten) {
+            mark = addMark(key, text, KeyOutcome{OutcomeKind::InProgress, outcome.fingerprint, {}});
+        }
+        if (mark != nullptr) {
+            merge(*mark, outcome);
+        }
+    }
+    return replyOf(key, outcome.kind);
+}
+
+WitnessKeys::Messages WitnessKeys::onChunk(const InstanceRef &from, const HandoverChunk &message)
+{
+    HomeRecords *home = records(message.home);
+    if (home == nullptr || message.index >= m_limits.maximumEntries) {
+        return {};
+    }
+    for (const HandoverEntry &entry : message.entries) {
+        if (entry.key.ticket.home == message.home) {
+            onUpdate(entry.key, entry.outcome);
+        }
+    }
+    if (!home->complete) {
+        home->chunks.insert(message.index);
+    }
+    home->dropAfter = m_now + completionMemory;
+    return {{from, HandoverConfirmed{message.home, message.index}}};
+}
+
+WitnessKeys::Messages WitnessKeys::onComplete(const InstanceRef &from, const HandoverComplete &message)
+{
+    HomeRecords *home = records(message.home);
+    if (home == nullptr) {
+        return {};
+    }
+    const bool allThere = home->chunks.size() == message.chunks && (home->chunks.empty() || *home->chunks.rbegin() < message.chunks);
+    if (!home->complete && !allThere) {
+        return {};
+    }
+    home->complete = true;
+    home->chunks.clear();
+    home->dropAfter = m_now + completionMemory;
+    return {{from, HandoverConfirmed{message.home, message.chunks}}};
+}
+
+} // namespace jackdawdoor::idempotency
