--- /dev/null
+++ b/src/net/upstreamconnection.h
@@ -0,0 +1,62 @@
+/** One connection to an upstream, on top of an evhttp client connection. */
+#pragma once
+
+#include "net/eventloop.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <functional>
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evhttp_connection;
+
+namespace jackdawdoor::net {
+
+/** Connection that carries one request at a time. Destruction closes it; never destroy it from within an evhttp callback. */
+class UpstreamConnection
+{
+public:
+    UpstreamConnection(EventLoop &loop, const settings::Endpoint &endpoint);
+    ~UpstreamConnection();
+    UpstreamConnection(const UpstreamConnection &) = delete;
+    UpstreamConnection &operator=(const UpstreamConnection &) = delete;
+
+    evhttp_connection *handle() const;
+    bufferevent *buffers() const;
+
+    /** The hook is called when the other side closes the connection while no request uses it. */
+    void setIdleClosedHook(std::function<void()> hook);
+
+    /** Notes that a request begins. */
+    void beginRequest();
+
+    /** True when not a byte of the present request has left this process. */
+    bool nothingSent() const;
+
+    /** Notes that a complete answer has arrived. */
+    void noteAnswer(TimePoint now);
+
+    /** No answer has been carried yet. */
+    bool isNew() const;
+
+    /** Time since the last complete answer. */
+    Duration silence(TimePoint now) const;
+
+    /** The connection was closed and must not be used again; evhttp would reopen it without notice. */
+    bool closed() const;
+
+private:
+    static void onClosed(evhttp_connection *connection, void *self);
+    static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
+
+    evhttp_connection *m_connection;
+    std::function<void()> m_idleClosedHook;
+    std::uint64_t m_sentBytes = 0;
+    TimePoint m_lastAnswer{};
+    bool m_answered = false;
+    bool m_closed = false;
+};
+
+} // namespace jackdawdoor::net
