Add the caller listener and tests of streaming on loopback

Requests with ambiguous framing are refused and their connection is closed. A cut answer resets the caller's connection: SO_LINGER proved too weak, since evhttp shuts the socket down first, and the test saw an orderly close.

--- /dev/null
+++ b/src/net/httpfrontend.cpp
@@ -0,0 +1,170 @@
+#include "net/httpfrontend.h"
+
+#include "net/refusalanswer.h"
+
+namespace jackdawdoor::net {
+
+namespace {
+
+// With the pipe's own bound this limits what a slow caller's answer may occupy.
+constexpr std::size_t maximumUnsentBytes = std::size_t{128} * 1024;
+
+core::Refusal lostAnswer()
+{
+    core::Refusal refusal;
+    refusal.status = 502;
+    refusal.disposition = core::Disposition::Unknown;
+    refusal.stage = core::RefusalStage::AnswerLost;
+    refusal.reason = "the answer was lost on its way";
+    return refusal;
+}
+
+} // namespace
+
+HttpFrontEnd::HttpFrontEnd(RequestNumbers numbers, ServerLimits limits)
+    : m_numbers(std::move(numbers))
+    , m_limits(limits)
+{
+}
+
+HttpFrontEnd::~HttpFrontEnd()
+{
+    m_loop.call([this] {
+        for (auto &entry : m_open) {
+            if (entry.second.pipe) {
+                entry.second.pipe->closeConsumer();
+            }
+        }
+        m_open.clear();
+        m_server.reset();
+    });
+    m_loop.stop();
+}
+
+Result<settings::Endpoint> HttpFrontEnd::listen(const settings::Endpoint &endpoint)
+{
+    m_server = std::make_unique<HttpServer>(m_loop, m_limits, [this](evhttp_request *request) {
+        accept(request);
+    });
+    auto bound = m_server->listen(endpoint);
+    if (bound.has_value()) {
+        m_loop.start();
+    }
+    return bound;
+}
+
+void HttpFrontEnd::answer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe)
+{
+    m_loop.post([this, request, pipe = std::move(pipe)] {
+        begin(request, pipe);
+    });
+}
+
+void HttpFrontEnd::closeAfterAnswers()
+{
+    m_closing = true;
+}
+
+void HttpFrontEnd::accept(evhttp_request *request)
+{
+    const core::RequestId number = m_numbers();
+    auto exchange = std::make_unique<ServerExchange>(m_loop, request, m_server->limits(), [this, number] {
+        finish(number, RequestEnd::CallerGone);
+    });
+    if (const auto fault = framingFault(exchange->receivedHeaders())) {
+        // The bytes that follow cannot be told apart from the body, so the connection ends here.
+        exchange->reply(400, {{"Content-Type", "application/json"}, {"Connection", "close"}}, refusalJson(malformedRefusal(*fault)));
+        return;
+    }
+    const auto content = std::make_shared<const RequestContent>(exchange->content());
+    Open &open = m_open[number];
+    open.exchange = std::move(exchange);
+    open.headOnly = content->method == "HEAD";
+    signalRequest.emit(number, content);
+}
+
+void HttpFrontEnd::begin(core::RequestId request, std::shared_ptr<AnswerPipe> pipe)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end() || found->second.pipe) {
+        pipe->closeConsumer();
+        return;
+    }
+    found->second.pipe = pipe;
+    pipe->setConsumerHook([this, request] {
+        m_loop.post([this, request] {
+            pump(request);
+        });
+    });
+}
+
+bool HttpFrontEnd::startAnswer(Open &open)
+{
+    const auto head = open.pipe->head();
+    if (!head) {
+        return false;
+    }
+    open.started = true;
+    Headers headers = head->headers;
+    if (m_closing) {
+        headers.push_back({"Connection", "close"});
+    }
+    if (!open.headOnly && head->status != 204 && head->status != 304) {
+        open.announced = head->contentLength;
+    }
+    open.exchange->start(head->status, headers, head->contentLength);
+    return true;
+}
+
+void HttpFrontEnd::pump(core::RequestId request)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end() || found->second.exchange->closed()) {
+        return;
+    }
+    Open &open = found->second;
+    if (!open.started && !startAnswer(open)) {
+        if (open.pipe->take().state != AnswerPipe::State::Open) {
+            open.exchange->reply(502, {{"Content-Type", "application/json"}}, refusalJson(lostAnswer()));
+            finish(request, RequestEnd::Broken);
+        }
+        return;
+    }
+    if (open.exchange->unsent() >= maximumUnsentBytes) {
+        return;
+    }
+    const AnswerPipe::Taken taken = open.pipe->take();
+    open.sent += taken.bytes.size();
+    if (!taken.bytes.empty()) {
+        open.exchange->send(taken.bytes, [this, request] {
+            pump(request);
+        });
+    }
+    if (taken.state == AnswerPipe::State::Open) {
+        return;
+    }
+    const bool whole = !open.announced || *open.announced == open.sent;
+    if (taken.state == AnswerPipe::State::Complete && whole) {
+        open.exchange->end();
+        finish(request, RequestEnd::Answered);
+    } else {
+        open.exchange->abort();
+        finish(request, RequestEnd::Broken);
+    }
+}
+
+void HttpFrontEnd::finish(core::RequestId request, RequestEnd end)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end()) {
+        return;
+    }
+    const Open open = std::move(found->second);
+    m_open.erase(found);
+    if (open.pipe) {
+        open.pipe->closeConsumer();
+    }
+    signalEnd.emit(request, end);
+}
+
+} // namespace jackdawdoor::net
--- /dev/null
+++ b/src/net/httpfrontend.h
@@ -0,0 +1,58 @@
+/** Task that serves HTTP to callers or operators. */
+#pragma once
+
+#include "base/error.h"
+#include "net/eventloop.h"
+#include "net/frontend.h"
+#include "net/httpserver.h"
+#include "net/serverexchange.h"
+#include "settings/settings.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+namespace jackdawdoor::net {
+
+/** Front end on an evhttp listener. Requests with ambiguous framing are refused here and never signalled. */
+class HttpFrontEnd : public FrontEnd
+{
+public:
+    explicit HttpFrontEnd(RequestNumbers numbers, ServerLimits limits = {});
+    ~HttpFrontEnd() override; ///< closes all connections
+    HttpFrontEnd(const HttpFrontEnd &) = delete;
+    HttpFrontEnd &operator=(const HttpFrontEnd &) = delete;
+
+    /** Binds the listener and starts the task. Connect the signals before. */
+    Result<settings::Endpoint> listen(const settings::Endpoint &endpoint);
+
+    void answer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe) override;
+
+    /** From now on, each answer asks its caller to open a new connection, elsewhere. */
+    void closeAfterAnswers();
+
+private:
+    struct Open {
+        std::unique_ptr<ServerExchange> exchange;
+        std::shared_ptr<AnswerPipe> pipe;
+        bool started = false;
+        bool headOnly = false;
+        std::optional<std::uint64_t> announced; ///< length that the answer must have
+        std::uint64_t sent = 0;
+    };
+
+    void accept(evhttp_request *request);
+    void begin(core::RequestId request, std::shared_ptr<AnswerPipe> pipe);
+    void pump(core::RequestId request);
+    bool startAnswer(Open &open);
+    void finish(core::RequestId request, RequestEnd end);
+
+    RequestNumbers m_numbers;
+    ServerLimits m_limits;
+    EventLoop m_loop;
+    std::map<core::RequestId, Open> m_open;
+    std::unique_ptr<HttpServer> m_server;
+    std::atomic<bool> m_closing = false;
+};
+
+} // namespace jackdawdoor::net
--- a/src/net/serverexchange.cpp
+++ b/src/net/serverexchange.cpp
@@ -219,9 +219,11 @@
     m_closed = true;
     evhttp_connection *lost = connection();
     evhttp_connection_set_closecb(lost, nullptr, nullptr);
-    // A reset: an orderly close would look like the end of an answer that is delimited by the close.
-    const linger reset{1, 0};
-    setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(lost)), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    // An orderly close would look like the end of an answer that is delimited by the close. Disconnecting resets the
+    // connection; SO_LINGER would not, since evhttp shuts the socket down before it closes it.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(lost)), &none, sizeof(none));
     evhttp_connection_free(lost);
     m_request = nullptr;
 }
--- /dev/null
+++ b/test/error/transport_test.cpp
@@ -0,0 +1,146 @@
+/** Faults of upstreams and callers as the network tasks meet them. */
+#include "standins/directproxy.h"
+#include "standins/rawclient.h"
+#include "standins/upstream.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace jackdawdoor;
+using core::AttemptEnd;
+using standins::Fault;
+using standins::RawClient;
+
+namespace {
+
+net::AttemptOrder orderFor(const std::string &address)
+{
+    net::AttemptOrder order;
+    order.address = address;
+    order.attemptTimeout = std::chrono::milliseconds{300};
+    order.idleTimeout = std::chrono::milliseconds{300};
+    order.maximumSilence = std::chrono::seconds{2};
+    order.connectionLimit = 2;
+    return order;
+}
+
+constexpr const char *request = "GET /a/b?bytes=100000 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("each fault of an upstream is reported as what it proves")
+{
+    struct Case {
+        Fault fault;
+        AttemptEnd end;
+        const char *status;
+    };
+    const std::vector<Case> cases{{Fault::Error, AttemptEnd::Complete, "HTTP/1.1 500"},
+                                  {Fault::Shed, AttemptEnd::Complete, "HTTP/1.1 503"},
+                                  {Fault::Hang, AttemptEnd::Timeout, "HTTP/1.1 502"},
+                                  {Fault::Reset, AttemptEnd::Reset, "HTTP/1.1 502"}};
+    standins::Upstream upstream;
+    standins::DirectProxy proxy(orderFor(upstream.server().address()));
+    std::size_t count = 0;
+    for (const Case &entry : cases) {
+        upstream.behave({entry.fault, {}, 64, 100});
+        RawClient client(proxy.port());
+        client.send(request);
+        const std::string answer = client.receiveAnswer();
+        const auto reports = proxy.reports(++count);
+        REQUIRE(reports.size() == count);
+        CHECK_MESSAGE(reports.back().end == entry.end, "fault " << static_cast<int>(entry.fault) << " was reported as another end");
+        CHECK_MESSAGE(answer.starts_with(entry.status), "unexpected answer: " << answer);
+    }
+}
+
+TEST_CASE("a refused connection is reported as nothing sent")
+{
+    int unusedPort = 0;
+    {
+        const standins::Upstream gone;
+        unusedPort = gone.server().port();
+    }
+    standins::DirectProxy proxy(orderFor("127.0.0.1:" + std::to_string(unusedPort)));
+    RawClient client(proxy.port());
+    client.send(request);
+    client.receiveAnswer();
+    const auto reports = proxy.reports(1);
+    REQUIRE(reports.size() == 1);
+    CHECK_MESSAGE(reports[0].end == AttemptEnd::ConnectFailed, "a connection that was never open counts as having carried the request");
+}
+
+TEST_CASE("a short body is never presented as a complete answer")
+{
+    standins::Upstream upstream;
+    upstream.behave({Fault::Short, {}, 64, 100});
+    standins::DirectProxy proxy(orderFor(upstream.server().address()));
+    for (const char *version : {"HTTP/1.1", "HTTP/1.0"}) {
+        RawClient client(proxy.port());
+        client.send("GET /a/b?bytes=300000 " + std::string(version) + "\r\nHost: x\r\n\r\n");
+        const std::string answer = client.receiveAll();
+        CHECK_MESSAGE(answer.size() < 300000, "a cut answer was filled up");
+        CHECK_MESSAGE(client.end() == RawClient::End::Reset, "the connection of a cut answer was closed in an orderly way");
+    }
+    const auto reports = proxy.reports(2);
+    REQUIRE(reports.size() == 2);
+    CHECK_MESSAGE(reports[0].end == AttemptEnd::ShortBody, "a short body was not reported");
+    const auto ends = proxy.ends(2);
+    CHECK_MESSAGE(ends.at(0) == net::RequestEnd::Broken, "a cut answer counts as answered");
+}
+
+TEST_CASE("a caller that leaves cancels its attempt")
+{
+    standins::Upstream upstream;
+    upstream.behave({Fault::Hang, {}, 64, 100});
+    net::AttemptOrder order = orderFor(upstream.server().address());
+    order.attemptTimeout = std::chrono::seconds{30};
+    standins::DirectProxy proxy(order);
+    {
+        RawClient client(proxy.port());
+        client.send(request);
+        std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    }
+    const auto reports = proxy.reports(1);
+    REQUIRE_MESSAGE(reports.size() == 1, "the caller's leave was not noticed while its request waited");
+    CHECK_MESSAGE(reports[0].end == AttemptEnd::Cancelled, "the attempt of a caller that left went on");
+    CHECK_MESSAGE(proxy.upstreams().openConnections(order.address) == 0, "the connection of a cancelled attempt stayed open");
+}
+
+TEST_CASE("requests that two parsers could read differently are refused and not forwarded")
+{
+    standins::Upstream upstream;
+    standins::DirectProxy proxy(orderFor(upstream.server().address()));
+    const std::string smuggled = "GET /a/smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::vector<std::string> requests{
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n" + smuggled,
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length : 5\r\n\r\n" + smuggled,
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nTransfer-Encoding: identity, chunked\r\n\r\n" + smuggled,
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: +0\r\n\r\n" + smuggled,
+    };
+    for (const std::string &text : requests) {
+        const std::string answer = standins::exchangeRaw(proxy.port(), text);
+        CHECK_MESSAGE(answer.find("HTTP/1.1 200") == std::string::npos, "an ambiguous request was served: " << text);
+    }
+    CHECK_MESSAGE(upstream.runs() == 0, "an ambiguous request or the one hidden in it reached the upstream");
+}
+
+TEST_CASE("a request that is too large or too slow is ended by the listener")
+{
+    standins::Upstream upstream;
+    net::ServerLimits limits;
+    limits.maximumBodyBytes = 1000;
+    limits.maximumHeaderBytes = 2000;
+    limits.readTimeout = std::chrono::milliseconds{200};
+    standins::DirectProxy proxy(orderFor(upstream.server().address()), limits);
+    standins::exchangeRaw(proxy.port(), "POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x'));
+    standins::exchangeRaw(proxy.port(), "GET /a/b HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n");
+    RawClient slow(proxy.port(), 3000);
+    slow.send("GET /a/b HTTP/1.1\r\nHo");
+    slow.receiveAll();
+    CHECK_MESSAGE(slow.end() != RawClient::End::Open, "a caller that does not finish its request keeps its connection");
+    CHECK_MESSAGE(upstream.runs() == 0, "a request beyond the limits reached the upstream");
+}
--- /dev/null
+++ b/test/standins/rawclient.h
@@ -0,0 +1,48 @@
+/** Blocking TCP client for tests that must send or read bytes in ways that HTTP clients avoid. */
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace jackdawdoor::standins {
+
+/** One connection. Every read gives up after the timeout, so that a test cannot hang. */
+class RawClient
+{
+public:
+    /** How a stream of bytes ended. */
+    enum class End {
+        Open, ///< nothing more came within the timeout
+        Closed, ///< orderly close
+        Reset,
+    };
+
+    explicit RawClient(int port, int timeoutMilliseconds = 5000);
+    ~RawClient();
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(std::string_view bytes) const;
+
+    /** Reads at most count bytes; fewer when the stream ends or the timeout passes. */
+    std::string receive(std::size_t count);
+
+    /** Reads until the stream ends or the timeout passes. */
+    std::string receiveAll();
+
+    /** Reads the head and a body of the length that it announces. */
+    std::string receiveAnswer();
+
+    /** Why the last read ended. */
+    End end() const;
+
+private:
+    int m_socket;
+    End m_end = End::Open;
+};
+
+/** Sends one request with "Connection: close" and returns all bytes of the answer. */
+std::string exchangeRaw(int port, std::string_view request);
+
+} // namespace jackdawdoor::standins
