Carry health evidence over a change of contract

Cause: LocalHealth and FleetHealth had no way to adopt a later policy; a rebuild would have brought ejected upstreams back at each publish. Evidence, probation and baselines are now moved to the upstreams that remain.

--- a/src/core/keyrefusal.cpp
+++ b/src/core/keyrefusal.cpp
@@ -45,6 +45,13 @@
                 true,
                 std::nullopt,
                 "the instance is stopping; ask for a new ticket"};
+    case KeyRefusal::Paused:
+        return {serviceUnavailable,
+                Disposition::Unknown,
+                RefusalStage::Stopping,
+                true,
+                std::nullopt,
+                "the instance was paused; ask for a new ticket"};
     case KeyRefusal::OutcomeUnknown:
         return {gatewayTimeout,
                 Disposition::Unknown,
--- a/src/core/requestflow.cpp
+++ b/src/core/requestflow.cpp
@@ -266,7 +266,7 @@
 {
     ServiceState *service = prepared.service == nullptr ? nullptr : m_services.find(prepared.service->id);
     if (service != nullptr && refusal.waitingHelps && !refusal.retryAfter) {
-        refusal.retryAfter = service->retryHint.onRefused(now, service->queue.expectedWait(), m_random);
+        refusal.retryAfter = service->retryHint.onRefused(now, service->queue.expectedWait(now), m_random);
     }
     (refusal.disposition == Disposition::NotRun ? m_counts.refusedNotRun : m_counts.refusedUnknown) += 1;
     m_outbox.log({"refuse",
--- a/src/health/fleethealth.cpp
+++ b/src/health/fleethealth.cpp
@@ -1,5 +1,7 @@
 #include "health/fleethealth.h"
 
+#include "health/upstreammapping.h"
+
 #include <algorithm>
 
 namespace jackdawdoor::health {
@@ -34,6 +36,18 @@
 {
 }
 
+void FleetHealth::adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion)
+{
+    detail::rearrange(m_entries, mapUpstreams(m_policy, policy), Entry{policy.health});
+    for (Entry &entry : m_entries) {
+        entry.probation.adoptPolicy(policy.health);
+    }
+    m_floor = FloorGuard(policy.health.healthyFloor);
+    m_policy = policy;
+    m_policyVersion = policyVersion;
+    m_bound.reset();
+}
+
 void FleetHealth::onEvidence(TimePoint now, const InstanceId &instance, const EvidenceReport &report)
 {
     if (report.policyVersion != m_policyVersion || report.service != m_policy.id) {
--- a/src/health/fleethealth.h
+++ b/src/health/fleethealth.h
@@ -25,6 +25,9 @@
     /** Upstreams that count as unusable for the floor: draining, leaving or cold ones. */
     void setUnavailable(const UpstreamId &upstream, bool unavailable);
 
+    /** Continues with a later policy; verdicts on upstreams that remain are kept. */
+    void adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion);
+
     /** All current verdicts, to be sent to all holders; call every 500 ms and after urgent evidence. */
     Verdicts judge(TimePoint now);
 
--- a/src/health/graydetector.cpp
+++ b/src/health/graydetector.cpp
@@ -45,6 +45,14 @@
 {
 }
 
+void GrayDetector::adoptPolicy(const contract::HealthPolicy &policy, const UpstreamMapping &mapping)
+{
+    detail::rearrange(m_upstreams, mapping, Upstream{});
+    m_baseline.rearrange(mapping);
+    m_slowness = SlownessTest(policy.slowRatio);
+    m_policy = policy;
+}
+
 void GrayDetector::attemptStarted(TimePoint now,
                                   std::size_t upstream,
                                   std::uint64_t attempt,
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -80,6 +80,9 @@
         return m_upstreams[upstream].shedShare;
     }
 
+    /** Continues with a later policy; evidence on upstreams that remain is kept. */
+    void adoptPolicy(const contract::HealthPolicy &policy, const UpstreamMapping &mapping);
+
 private:
     struct Running {
         std::uint64_t attempt = 0;
--- a/src/health/latencybaseline.cpp
+++ b/src/health/latencybaseline.cpp
@@ -42,6 +42,15 @@
 {
 }
 
+void LatencyBaseline::rearrange(const UpstreamMapping &mapping)
+{
+    m_upstreams = mapping.size();
+    for (auto &[operation, row] : m_rows) {
+        detail::rearrange(row.cells, mapping, Cell{});
+        refresh(row);
+    }
+}
+
 void LatencyBaseline::add(const OperationId &operation, std::size_t upstream, Duration latency)
 {
     auto &row = m_rows[operation];
--- a/src/health/latencybaseline.h
+++ b/src/health/latencybaseline.h
@@ -3,6 +3,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "health/upstreammapping.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -37,6 +38,9 @@
     /** Standard deviation of the logarithm of the latency; median over the upstreams, with a lower bound. */
     double spread(const OperationId &operation) const;
 
+    /** Continues with the upstreams of a later policy. */
+    void rearrange(const UpstreamMapping &mapping);
+
 private:
     struct Cell {
         int count = 0;
--- a/src/health/localhealth.cpp
+++ b/src/health/localhealth.cpp
@@ -36,6 +36,22 @@
     }
 }
 
+void LocalHealth::adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion)
+{
+    const UpstreamMapping mapping = mapUpstreams(m_policy, policy);
+    detail::rearrange(m_entries, mapping, Entry{policy.health});
+    m_detector.adoptPolicy(policy.health, mapping);
+    m_floor = FloorGuard(policy.health.healthyFloor);
+    m_policy = policy;
+    m_policyVersion = policyVersion;
+    m_lastDispatched = policy.upstreams.size();
+    m_index.clear();
+    for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
+        m_index.emplace(policy.upstreams[index].id, index);
+        m_entries[index].probation.adoptPolicy(policy.health);
+    }
+}
+
 void LocalHealth::attemptStarted(TimePoint now,
                                  const UpstreamId &upstream,
                                  std::uint64_t attempt,
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -62,6 +62,9 @@
     /** The upstream's process started: slow answers are forgiven for the cold start allowance. */
     void markStarted(TimePoint now, const UpstreamId &upstream);
 
+    /** Continues with a later policy; what is known of upstreams that remain is kept. */
+    void adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion);
+
     /** Upstreams that are neither ejected nor draining, leaving or cold. */
     int usable(TimePoint now) const;
 
--- a/src/health/probation.cpp
+++ b/src/health/probation.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+void Probation::adoptPolicy(const contract::HealthPolicy &policy)
+{
+    m_policy = policy;
+}
+
 void Probation::eject(TimePoint now)
 {
     if (m_ejected) {
--- a/src/health/probation.h
+++ b/src/health/probation.h
@@ -14,6 +14,9 @@
 public:
     explicit Probation(const contract::HealthPolicy &policy);
 
+    /** Continues with later delays and numbers of trials. */
+    void adoptPolicy(const contract::HealthPolicy &policy);
+
     /** Ejects the upstream; a repeated ejection while ejected changes nothing. */
     void eject(TimePoint now);
 
