--- a/src/contract/operationreader.cpp
+++ b/src/contract/operationreader.cpp
@@ -2,7 +2,6 @@
 
 #include "contract/schemalimits.h"
 #include "contract/uniquenames.h"
-#include "contract/units.h"
 #include "contract/valuerules.h"
 #include "contract/wronganswerreader.h"
 
@@ -20,16 +19,6 @@
     }
 }
 
-// A body that must be longer than it may be makes each answer wrong.
-void checkBodies(ObjectReader &reader, const Operation &operation)
-{
-    if (operation.largestAnswer != 0 && operation.wrongAnswer.minimumBodyBytes > operation.largestAnswer) {
-        reader.contradiction("wrongAnswer",
-                             "minimumBody " + formatSize(operation.wrongAnswer.minimumBodyBytes) + " exceeds largestAnswer",
-                             "minimumBody of at most " + formatSize(operation.largestAnswer));
-    }
-}
-
 Operation readOperation(ObjectReader &reader, FaultList &faults, SourceLines &lines)
 {
     Operation operation;
@@ -39,9 +28,9 @@
     readKeys(reader, operation);
     operation.usefulWithin = reader.required("usefulWithin", durationRule(minimumUsefulness, maximumUsefulness)).value_or(Duration{});
     operation.largestRequest = reader.required("largestRequest", sizeRule(0, maximumRequestBytes)).value_or(0);
-    operation.largestAnswer = reader.required("largestAnswer", sizeRule(1, maximumAnswerBytes)).value_or(0);
-    operation.wrongAnswer = readWrongAnswer(reader, faults, lines);
-    checkBodies(reader, operation);
+    const auto largestAnswer = reader.required("largestAnswer", sizeRule(1, maximumAnswerBytes));
+    operation.largestAnswer = largestAnswer.value_or(0);
+    operation.wrongAnswer = readWrongAnswer(reader, largestAnswer.value_or(maximumAnswerBytes), faults, lines);
     reader.finish();
     return operation;
 }
--- a/src/contract/servicerules.cpp
+++ b/src/contract/servicerules.cpp
@@ -60,7 +60,7 @@
 {
     const double rate = service.peakRequestsPerSecond / holders;
     const double arriving = std::ceil(rate * toSeconds(longestUsefulness(service, false)) / 2);
-    const auto slotsOfHolder = static_cast<double>((totalSlots(service) + holders - 1) / holders);
+    const double slotsOfHolder = std::ceil(static_cast<double>(totalSlots(service)) / holders);
     return static_cast<int>(std::min<double>(std::max({arriving, slotsOfHolder, 1.0}), maximumQueueBound));
 }
 
--- a/src/contract/upstreamreader.cpp
+++ b/src/contract/upstreamreader.cpp
@@ -9,17 +9,27 @@
 
 namespace {
 
+// A service-level value. One that is given but faulty is reported once and not as missing from each entry.
+template <typename Value>
+struct Default {
+    bool given = false;
+    std::optional<Value> value;
+};
+
 // Values of upstream entries that leave a key out.
 struct UpstreamDefaults {
-    std::optional<int> slots;
-    std::optional<int> connections;
-    std::optional<std::string> dataCentre;
+    Default<int> slots;
+    Default<int> connections;
+    Default<std::string> dataCentre;
 };
 
 template <typename Value>
-std::optional<Value> readIfGiven(ObjectReader &reader, const std::string &key, const ValueRule<Value> &rule)
+Default<Value> readDefault(ObjectReader &reader, const std::string &key, const ValueRule<Value> &rule)
 {
-    return reader.find(key) == nullptr ? std::nullopt : reader.required(key, rule);
+    if (reader.find(key) == nullptr) {
+        return {};
+    }
+    return {true, reader.required(key, rule)};
 }
 
 UpstreamDefaults readDefaults(ObjectReader &service, FaultList &faults, SourceLines &lines)
@@ -30,18 +40,21 @@
         return defaults;
     }
     ObjectReader reader(*node, joinKey(service.path(), "upstreamDefaults"), faults, &lines);
-    defaults.slots = readIfGiven(reader, "slots", integerRule(1, maximumSlots));
-    defaults.connections = readIfGiven(reader, "connections", integerRule(1, maximumConnections));
-    defaults.dataCentre = readIfGiven(reader, "dataCentre", nameRule());
+    defaults.slots = readDefault(reader, "slots", integerRule(1, maximumSlots));
+    defaults.connections = readDefault(reader, "connections", integerRule(1, maximumConnections));
+    defaults.dataCentre = readDefault(reader, "dataCentre", nameRule());
     reader.finish();
     return defaults;
 }
 
 template <typename Value>
 std::optional<Value>
-readOrDefault(ObjectReader &reader, const std::string &key, const ValueRule<Value> &rule, const std::optional<Value> &fallback)
+readOrDefault(ObjectReader &reader, const std::string &key, const ValueRule<Value> &rule, const Default<Value> &fallback)
 {
-    return fallback ? reader.optional(key, rule, *fallback) : reader.required(key, rule);
+    if (fallback.given && reader.find(key) == nullptr) {
+        return fallback.value;
+    }
+    return reader.required(key, rule);
 }
 
 // A running request occupies a connection, so that fewer connections than slots would leave slots unusable.
--- a/src/contract/wronganswerreader.cpp
+++ b/src/contract/wronganswerreader.cpp
@@ -2,6 +2,7 @@
 
 #include "contract/schemalimits.h"
 #include "contract/uniquenames.h"
+#include "contract/units.h"
 #include "contract/valuerules.h"
 
 namespace jackdawdoor::contract {
@@ -50,9 +51,19 @@
     }
 }
 
+void readMinimumBody(ObjectReader &reader, std::uint64_t largestAnswer, WrongAnswerRule &rule)
+{
+    rule.minimumBodyBytes = reader.optional<std::uint64_t>("minimumBody", sizeRule(0, maximumAnswerBytes), 0).value_or(0);
+    if (rule.minimumBodyBytes > largestAnswer) {
+        const std::string largest = formatSize(largestAnswer);
+        reader.contradiction(
+            "minimumBody", formatSize(rule.minimumBodyBytes) + " exceeds largestAnswer, " + largest, "size of at most " + largest);
+    }
+}
+
 } // namespace
 
-WrongAnswerRule readWrongAnswer(ObjectReader &operation, FaultList &faults, SourceLines &lines)
+WrongAnswerRule readWrongAnswer(ObjectReader &operation, std::uint64_t largestAnswer, FaultList &faults, SourceLines &lines)
 {
     WrongAnswerRule rule;
     rule.statuses = defaultStatuses();
@@ -66,7 +77,7 @@
     if (reader.find("contentType") != nullptr) {
         rule.contentType = reader.required("contentType", contentTypeRule()).value_or("");
     }
-    rule.minimumBodyBytes = reader.optional<std::uint64_t>("minimumBody", sizeRule(0, maximumAnswerBytes), 0).value_or(0);
+    readMinimumBody(reader, largestAnswer, rule);
     reader.finish();
     return rule;
 }
--- a/src/contract/wronganswerreader.h
+++ b/src/contract/wronganswerreader.h
@@ -4,9 +4,13 @@
 #include "contract/objectreader.h"
 #include "contract/policy.h"
 
+#include <cstdint>
+
 namespace jackdawdoor::contract {
 
-/** Reads "wrongAnswer" from an operation; the default rule when it is absent. */
-WrongAnswerRule readWrongAnswer(ObjectReader &operation, FaultList &faults, SourceLines &lines);
+/** Reads "wrongAnswer" from an operation; the default rule when it is absent. A minimum body above `largestAnswer` bytes is
+ * a fault, since it would make each answer wrong.
+ */
+WrongAnswerRule readWrongAnswer(ObjectReader &operation, std::uint64_t largestAnswer, FaultList &faults, SourceLines &lines);
 
 } // namespace jackdawdoor::contract
