--- a/src/idempotency/crashsuspects.cpp
+++ b/src/idempotency/crashsuspects.cpp
@@ -128,11 +128,11 @@
     });
 }
 
-void CrashSuspects::onReport(TimePoint now, const SuspectReport &report)
+std::vector<UpstreamId> CrashSuspects::onReport(TimePoint now, const SuspectReport &report)
 {
     const Entry *known = findLive(now, report.fingerprint);
     if (known != nullptr && report.clearances < known->clearances) {
-        return;
+        return {};
     }
     Entry &entry = findOrAdd(now, report.fingerprint, report.source);
     if (report.clearances > entry.clearances) {
@@ -140,9 +140,11 @@
         entry.upstreams.clear();
         entry.expires = now + m_limits.clearanceMemory;
     }
+    bool changed = false;
     for (const UpstreamId &upstream : report.upstreams) {
-        addUpstream(now, entry, upstream);
+        changed = addUpstream(now, entry, upstream) || changed;
     }
+    return changed && entry.convicted() ? entry.upstreams : std::vector<UpstreamId>{};
 }
 
 void CrashSuspects::onTick(TimePoint now)
--- a/src/idempotency/crashsuspects.h
+++ b/src/idempotency/crashsuspects.h
@@ -99,8 +99,8 @@
     /** Whether a trial runs on the upstream, so that nothing else may be sent there. */
     bool reservedForTrial(TimePoint now, const UpstreamId &upstream) const;
 
-    /** Merges a report of another holder. */
-    void onReport(TimePoint now, const SuspectReport &report);
+    /** Merges a report of another holder. Returns upstreams whose crashes are retracted by a conviction. */
+    std::vector<UpstreamId> onReport(TimePoint now, const SuspectReport &report);
 
     /** Forgets what has expired. */
     void onTick(TimePoint now);
--- a/src/idempotency/homekeys.cpp
+++ b/src/idempotency/homekeys.cpp
@@ -166,12 +166,24 @@
     return step;
 }
 
+HomeStep HomeKeys::giveUpDispatch(TimePoint now, const std::string &key)
+{
+    advance(now);
+    HomeStep step;
+    HomeEntry *entry = find(key);
+    if (entry != nullptr && entry->state == KeyState::Ready) {
+        close(*entry, KeyRefusal::Closed, step);
+    }
+    continueStop(step);
+    return step;
+}
+
 HomeStep HomeKeys::recordNotRun(TimePoint now, const std::string &key, NotRunNext next)
 {
     advance(now);
     HomeStep step;
     HomeEntry *entry = find(key);
-    if (entry != nullptr && (entry->state == KeyState::Running || entry->state == KeyState::Ready)) {
+    if (entry != nullptr && entry->state == KeyState::Running) {
         if (next == NotRunNext::RetryNow) {
             setState(*entry, KeyState::Ready);
         } else if (next == NotRunNext::LeaveOpen && !m_stopping) {
--- a/src/idempotency/homekeys.h
+++ b/src/idempotency/homekeys.h
@@ -130,13 +130,16 @@
     /** The attempt ended without proof that it did not run. */
     HomeStep recordUnknown(TimePoint now, const std::string &key);
 
-    /** The attempt provably did not run, or a Ready key was given up before its dispatch. */
+    /** A Ready key is given up before its dispatch, and its caller is told "not run". */
+    HomeStep giveUpDispatch(TimePoint now, const std::string &key);
+
+    /** The attempt of a Running key provably did not run. */
     HomeStep recordNotRun(TimePoint now, const std::string &key, NotRunNext next);
 
     /** Answers an outcome query. A key that has not been admitted or is Idle is closed, so "not run" is certain. */
     KeyOutcome outcomeOf(TimePoint now, const IdempotencyKey &key);
 
-    /** Handles Recorded, Refused, Reply, Query and HandoverConfirmed; ignores other messages. */
+    /** Handles Recorded, Refused, Updated, Query and HandoverConfirmed; ignores other messages. */
     HomeStep onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message);
 
     /** Resends unanswered messages, refuses keys whose witness is silent, drops forgotten keys, moves the stop on. */
@@ -175,7 +178,7 @@
     void store(HomeEntry &entry, StoredAnswer answer);
     void onRecorded(const InstanceRef &from, const Recorded &message, HomeStep &step);
     void onRefused(const InstanceRef &from, const Refused &message, HomeStep &step);
-    void onReply(const InstanceRef &from, const Reply &message);
+    void onUpdated(const InstanceRef &from, const Updated &message);
     void retryMessages(HomeStep &step);
     void dropForgotten();
     void continueStop(HomeStep &step);
--- a/src/idempotency/homekeysmessages.cpp
+++ b/src/idempotency/homekeysmessages.cpp
@@ -22,8 +22,8 @@
         onRecorded(from, *recorded, step);
     } else if (const auto *refused = std::get_if<Refused>(&message)) {
         onRefused(from, *refused, step);
-    } else if (const auto *reply = std::get_if<Reply>(&message)) {
-        onReply(from, *reply);
+    } else if (const auto *updated = std::get_if<Updated>(&message)) {
+        onUpdated(from, *updated);
     } else if (const auto *query = std::get_if<Query>(&message)) {
         step.messages.push_back({from, Reply{query->key, outcomeOf(now, query->key)}});
     } else if (const auto *confirmed = std::get_if<HandoverConfirmed>(&message); confirmed != nullptr && m_handover) {
@@ -52,7 +52,7 @@
     }
 }
 
-void HomeKeys::onReply(const InstanceRef &from, const Reply &message)
+void HomeKeys::onUpdated(const InstanceRef &from, const Updated &message)
 {
     HomeEntry *entry = find(message.key.encode());
     if (entry != nullptr && final(entry->state) && from == entry->key.ticket.witness) {
--- a/src/idempotency/idempotencymessage.h
+++ b/src/idempotency/idempotencymessage.h
@@ -60,7 +60,7 @@
     bool operator==(const Closed &) const = default;
 };
 
-/** Home to witness: a final outcome. Acknowledged by a Reply. */
+/** Home to witness: a final outcome. Acknowledged by Updated. */
 struct OutcomeUpdate {
     IdempotencyKey key;
     KeyOutcome outcome;
@@ -68,6 +68,17 @@
     bool operator==(const OutcomeUpdate &) const = default;
 };
 
+/** Witness to home: an outcome update has arrived.
+ *
+ * Not a Reply: it carries no answer, and a later incarnation of the home that is asking for the key itself could take
+ * it for the outcome.
+ */
+struct Updated {
+    IdempotencyKey key;
+
+    bool operator==(const Updated &) const = default;
+};
+
 /** Any instance to home: what became of the key. The home closes a key that it does not have. Answered by Reply. */
 struct Query {
     IdempotencyKey key;
@@ -132,6 +143,7 @@
                                         Close,
                                         Closed,
                                         OutcomeUpdate,
+                                        Updated,
                                         Query,
                                         Reply,
                                         HandoverChunk,
@@ -147,7 +159,7 @@
 /** Messages that consist of a key. */
 template <typename Message>
 concept KeyMessage = std::same_as<Message, Recorded> || std::same_as<Message, Refused> || std::same_as<Message, Close> || std::
-    same_as<Message, Closed> || std::same_as<Message, Query>;
+    same_as<Message, Closed> || std::same_as<Message, Query> || std::same_as<Message, Updated>;
 
 template <KeyMessage Message>
 void to_json(nlohmann::json &json, const Message &message)
--- a/src/idempotency/witnesskeys.cpp
+++ b/src/idempotency/witnesskeys.cpp
@@ -41,7 +41,8 @@
         return {{from, onRecord(*record)}};
     }
     if (const auto *update = std::get_if<OutcomeUpdate>(&message); update != nullptr && from == update->key.ticket.home) {
-        return {{from, onUpdate(update->key, update->outcome)}};
+        storeOutcome(update->key, update->outcome);
+        return {{from, Updated{update->key}}};
     }
     if (const auto *close = std::get_if<Close>(&message)) {
         return {{from, onClose(*close)}};
@@ -114,23 +115,20 @@
     return Reply{message.key, told(mark->outcome)};
 }
 
-IdempotencyMessage WitnessKeys::onUpdate(const IdempotencyKey &key, const KeyOutcome &outcome)
+void WitnessKeys::storeOutcome(const IdempotencyKey &key, const KeyOutcome &outcome)
 {
-    if (!keyIsMine(key)) {
-        return replyOf(key, OutcomeKind::NotResponsible);
-    }
-    if (finality(outcome.kind) > 0) {
-        const TicketAge age = m_clocks.judge(m_now, key.ticket);
-        const std::string text = key.encode();
-        Mark *mark = findMark(key, text);
-        if (mark == nullptr && age != TicketAge::Forgotten) {
-            mark = addMark(key, text, KeyOutcome{OutcomeKind::InProgress, outcome.fingerprint, {}});
-        }
-        if (mark != nullptr) {
-            merge(*mark, outcome);
-        }
+    if (!keyIsMine(key) || finality(outcome.kind) == 0) {
+        return;
+    }
+    const TicketAge age = m_clocks.judge(m_now, key.ticket);
+    const std::string text = key.encode();
+    Mark *mark = findMark(key, text);
+    if (mark == nullptr && age != TicketAge::Forgotten) {
+        mark = addMark(key, text, KeyOutcome{OutcomeKind::InProgress, outcome.fingerprint, {}});
+    }
+    if (mark != nullptr) {
+        merge(*mark, outcome);
     }
-    return replyOf(key, outcome.kind);
 }
 
 WitnessKeys::Messages WitnessKeys::onChunk(const InstanceRef &from, const HandoverChunk &message)
@@ -141,7 +139,7 @@
     }
     for (const HandoverEntry &entry : message.entries) {
         if (entry.key.ticket.home == message.home) {
-            onUpdate(entry.key, entry.outcome);
+            storeOutcome(entry.key, entry.outcome);
         }
     }
     if (!home->complete) {
--- a/src/idempotency/witnesskeys.h
+++ b/src/idempotency/witnesskeys.h
@@ -76,7 +76,7 @@
     IdempotencyMessage onRecord(const Record &message);
     IdempotencyMessage onClose(const Close &message);
     IdempotencyMessage onQuery(const Query &message);
-    IdempotencyMessage onUpdate(const IdempotencyKey &key, const KeyOutcome &outcome);
+    void storeOutcome(const IdempotencyKey &key, const KeyOutcome &outcome);
     Messages onChunk(const InstanceRef &from, const HandoverChunk &message);
     Messages onComplete(const InstanceRef &from, const HandoverComplete &message);
 
