Add the peer transport on HTTP/2 with a mutual handshake

Both sides prove the fleet key by HMAC-SHA256 over both nonces, both instances and their role before anything else is accepted or sent. Messages are bounded and best effort; a link that is silent with work outstanding is pinged and closed. Forwarded answers keep the receiver's pace by stream flow control, and a broken one resets its stream. libevent's address parser refuses port 0, so endpoints are converted here.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,11 +1,10 @@
 #include "net/httpserver.h"
 
+#include "net/socketaddress.h"
+
 #include <event2/event.h>
 #include <event2/http.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-
 namespace jackdawdoor::net {
 
 HttpServer::HttpServer(EventLoop &loop, ServerLimits limits, Handler handler)
@@ -38,12 +37,7 @@
     if (bound == nullptr) {
         return Error{"listen", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
     }
-    sockaddr_storage address{};
-    socklen_t length = sizeof(address);
-    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr *>(&address), &length);
-    const in_port_t port = address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_port
-                                                         : reinterpret_cast<const sockaddr_in *>(&address)->sin_port;
-    return settings::Endpoint{endpoint.host, ntohs(port)};
+    return settings::Endpoint{endpoint.host, boundPort(evhttp_bound_socket_get_fd(bound))};
 }
 
 const ServerLimits &HttpServer::limits() const
--- /dev/null
+++ b/src/net/peertask.h
@@ -0,0 +1,76 @@
+/** Task that exchanges messages and forwarded requests with other instances. */
+#pragma once
+
+#include "base/error.h"
+#include "net/eventloop.h"
+#include "net/frontend.h"
+#include "net/peerlink.h"
+#include "net/peersession.h"
+#include "settings/settings.h"
+
+#include <sigc++/signal.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace jackdawdoor::net {
+
+/** Transport between instances. As a front end it signals the requests that others forward to this instance. */
+class PeerTask : public FrontEnd
+{
+public:
+    PeerTask(PeerIdentity identity, RequestNumbers numbers);
+    ~PeerTask() override; ///< closes all connections
+    PeerTask(const PeerTask &) = delete;
+    PeerTask &operator=(const PeerTask &) = delete;
+
+    /** Binds the listener and starts the task. Connect the signals before. */
+    Result<settings::Endpoint> listen(const settings::Endpoint &endpoint);
+
+    /** Sends a control message, best effort. */
+    void send(const InstanceRef &to, const std::string &address, std::string message);
+
+    /** Hands a request to another instance; its answer goes into the pipe. */
+    void forward(core::RequestId request,
+                 const InstanceRef &to,
+                 const std::string &address,
+                 const RequestContent &content,
+                 std::shared_ptr<AnswerPipe> pipe);
+
+    /** Gives up a request that was forwarded. */
+    void cancelForward(core::RequestId request);
+
+    void answer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe) override;
+
+    sigc::signal<void(const InstanceRef &, const std::string &)> signalMessage; ///< from an instance that knows the fleet key
+    sigc::signal<void(core::RequestId, bool)> signalForwardFailed; ///< no answer came; true: the peer certainly did not get it
+
+private:
+    struct Inbound {
+        std::uint64_t session = 0;
+        std::int32_t stream = 0;
+    };
+
+    static void onAccept(evconnlistener *listener, int socket, sockaddr *address, int length, void *self);
+    void accept(int socket);
+    void onForwarded(std::uint64_t session, std::int32_t stream, RequestContent request);
+    void onAnswerEnded(std::uint64_t session, std::int32_t stream, bool complete);
+    PeerLink *link(const std::string &address);
+    void check();
+
+    PeerIdentity m_identity;
+    RequestNumbers m_numbers;
+    EventLoop m_loop;
+    Timer m_checkTimer;
+    evconnlistener *m_listener = nullptr;
+    std::map<std::string, std::unique_ptr<PeerLink>> m_links; ///< by address
+    std::map<core::RequestId, Inbound> m_inbound;
+    std::uint64_t m_lastSession = 0;
+    std::map<std::uint64_t, std::unique_ptr<PeerSession>> m_sessions;
+};
+
+} // namespace jackdawdoor::net
--- /dev/null
+++ b/src/net/peerwire.h
@@ -0,0 +1,72 @@
+/** Contents of the streams between two instances, as CBOR positional arrays.
+ *
+ * Paths: /hello and /proof make the handshake; /message carries one control message of the core; /forward carries a
+ * caller's request, answered by a length-prefixed head and the body. Decoding malformed bytes gives nothing.
+ */
+#pragma once
+
+#include "base/ids.h"
+#include "net/httpmessage.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jackdawdoor::net {
+
+/** Largest sizes that an instance accepts from another, in bytes. */
+struct PeerLimits {
+    std::size_t handshakeBytes = 1024; ///< before the other side has proved itself
+    std::size_t messageBytes = std::size_t{1024} * 1024;
+    std::size_t requestBytes = std::size_t{33} * 1024 * 1024; ///< a caller's largest request and its head
+    std::size_t answerHeadBytes = std::size_t{64} * 1024;
+
+    bool operator==(const PeerLimits &) const = default;
+};
+
+/** First words of either side. The listener's has a proof; the opener's follows on its own. */
+struct Greeting {
+    InstanceRef instance;
+    std::string nonce;
+    std::string proof; ///< empty from the opener
+
+    bool operator==(const Greeting &) const = default;
+};
+
+std::string encodeGreeting(const Greeting &greeting);
+std::optional<Greeting> decodeGreeting(std::string_view bytes);
+
+std::string encodeRequest(const RequestContent &request);
+std::optional<RequestContent> decodeRequest(std::string_view bytes);
+
+/** The head with its length in front. */
+std::string encodeAnswerStart(const AnswerStart &start);
+
+/** Collects the bytes of an answer until its head is complete. */
+class AnswerStartReader
+{
+public:
+    enum class State {
+        Reading,
+        Complete,
+        Malformed,
+    };
+
+    explicit AnswerStartReader(std::size_t maximumBytes);
+
+    /** Takes bytes; after Complete, start() and rest() are set. */
+    State read(std::string_view bytes);
+
+    const AnswerStart &start() const;
+
+    /** Bytes of the body that came with the head. */
+    const std::string &rest() const;
+
+private:
+    std::size_t m_maximumBytes;
+    std::string m_bytes;
+    AnswerStart m_start;
+};
+
+} // namespace jackdawdoor::net
