--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -11,13 +11,7 @@
 
 namespace {
 
-constexpr Duration upstreamDelay = std::chrono::microseconds{300};
-constexpr Duration logDelay = std::chrono::milliseconds{5};
 constexpr Duration listPeriod = std::chrono::seconds{1};
-constexpr Duration forwardTimeout = std::chrono::seconds{2};
-/** Time after which a connection attempt to a process that does not exist is refused. */
-constexpr Duration refusalDelay = std::chrono::milliseconds{1};
-constexpr std::uint64_t answerBytes = 2048;
 
 /** Authenticator of the tests: any function that all instances share will do. */
 std::string testAuthenticator(std::string_view bytes)
@@ -128,7 +122,10 @@
     events.runUntil(events.now() + duration);
 }
 
-void VirtualFleet::publish(const CustomerId &customer, configuration::Version base, std::optional<std::string> body, const std::string &publishId)
+void VirtualFleet::publish(const CustomerId &customer,
+                           configuration::Version base,
+                           std::optional<std::string> body,
+                           const std::string &publishId)
 {
     log.append(events.now(), configuration::encodeRecord(configuration::Publish{customer, publishId, base, std::move(body)}));
 }
@@ -215,6 +212,11 @@
     ++node.generation;
     node.held.clear();
     // Upstreams go on with what was sent to them; nobody hears the answers.
+    for (const auto &[id, attempt] : node.attempts) {
+        if (attempt.reachedUpstream) {
+            orphan(attempt.upstream, attempt.answer);
+        }
+    }
     node.attempts.clear();
     std::map<core::RequestId, Pending> pending = std::exchange(node.pending, {});
     for (auto &[id, lost] : pending) {
--- a/bench/fakes/virtualfleet.h
+++ b/bench/fakes/virtualfleet.h
@@ -153,7 +153,13 @@
     void carryOut(std::size_t index, const core::AppendLog &effect);
     void carryOut(std::size_t index, const core::LogDecision &effect);
     void carryOut(std::size_t index, const core::StopFinished &effect);
-    void arriveAtUpstream(std::size_t index, std::uint64_t generation, core::AttemptId attempt);
+    void onAccepted(std::size_t index,
+                    std::uint64_t generation,
+                    core::AttemptId attempt,
+                    const UpstreamId &upstream,
+                    const UpstreamAnswer &answer);
+    void orphan(const UpstreamId &upstream, const UpstreamAnswer &answer);
+    void sendHead(std::size_t index, std::uint64_t generation, core::AttemptId attempt, const UpstreamAnswer &answer);
     void endAttempt(std::size_t index, std::uint64_t generation, core::AttemptId attempt, core::AttemptEnd end);
     void crashUpstream(const UpstreamId &upstream);
     void answer(std::size_t index, core::RequestId request, CallerAnswer answer);
--- a/bench/fakes/virtualfleeteffects.cpp
+++ b/bench/fakes/virtualfleeteffects.cpp
@@ -33,34 +33,36 @@
         });
         return;
     }
-    // What was sent reaches the upstream even if the instance crashes meanwhile.
-    events.after(upstreamDelay, [this, index, generation, effect, id] {
-        Node &sender = m_nodes[index];
-        const auto pending = sender.pending.find(effect.request);
-        const bool known = sender.generation == generation && pending != sender.pending.end();
-        (void)known;
-        arriveAtUpstream(index, generation, id);
+    const auto pending = node.pending.find(effect.request);
+    const core::CallerRequest request = pending == node.pending.end() ? core::CallerRequest{} : pending->second.request;
+    // What was sent reaches the upstream and runs even if the instance crashes meanwhile.
+    events.after(upstreamDelay, [this, index, generation, id, upstream = effect.upstream, request] {
+        const UpstreamAnswer answer = upstreams.at(upstream).accept(events.now(), request.key, request.fingerprint, random);
+        if (answer.end == core::AttemptEnd::Reset) {
+            events.after(answer.latency, [this, upstream] {
+                crashUpstream(upstream);
+            });
+        }
+        onAccepted(index, generation, id, upstream, answer);
     });
 }
 
-void VirtualFleet::arriveAtUpstream(std::size_t index, std::uint64_t generation, core::AttemptId id)
+void VirtualFleet::onAccepted(std::size_t index,
+                              std::uint64_t generation,
+                              core::AttemptId id,
+                              const UpstreamId &upstream,
+                              const UpstreamAnswer &answer)
 {
     Node &node = m_nodes[index];
     const auto found = node.attempts.find(id);
     if (node.generation != generation || found == node.attempts.end()) {
+        orphan(upstream, answer);
         return;
     }
     RunningAttempt &attempt = found->second;
-    FakeUpstream &upstream = upstreams.at(attempt.upstream);
-    const auto pending = node.pending.find(attempt.request);
-    const core::CallerRequest request = pending == node.pending.end() ? core::CallerRequest{} : pending->second.request;
-    attempt.answer = upstream.accept(events.now(), request.key, request.fingerprint, random);
-    const UpstreamAnswer answer = attempt.answer;
+    attempt.answer = answer;
     attempt.reachedUpstream = answer.end != core::AttemptEnd::ConnectFailed;
     if (answer.end == core::AttemptEnd::Reset) {
-        events.after(answer.latency, [this, upstreamId = attempt.upstream] {
-            crashUpstream(upstreamId);
-        });
         return;
     }
     const Duration timeout = attempt.order.attemptTimeout - upstreamDelay;
@@ -72,19 +74,34 @@
         return;
     }
     events.after(answer.latency + upstreamDelay, [this, index, generation, id, answer] {
-        core::AnswerHead head;
-        head.attempt = id;
-        head.status = answer.status;
-        head.contentType = "application/json";
-        head.freshness = answer.stale ? "86400" : "0";
-        head.contentLength = answerBytes;
-        head.shed = answer.shed;
-        input(index, generation, [this, head](core::Instance &core) {
-            return core.onAnswerHead(events.now(), head);
-        });
-        events.after(bodyTime, [this, index, generation, id, answer] {
-            endAttempt(index, generation, id, answer.end);
-        });
+        sendHead(index, generation, id, answer);
+    });
+}
+
+void VirtualFleet::orphan(const UpstreamId &upstream, const UpstreamAnswer &answer)
+{
+    if (answer.end == core::AttemptEnd::ConnectFailed || answer.end == core::AttemptEnd::Reset) {
+        return;
+    }
+    events.after(answer.latency, [this, upstream] {
+        upstreams.at(upstream).release();
+    });
+}
+
+void VirtualFleet::sendHead(std::size_t index, std::uint64_t generation, core::AttemptId id, const UpstreamAnswer &answer)
+{
+    core::AnswerHead head;
+    head.attempt = id;
+    head.status = answer.status;
+    head.contentType = "application/json";
+    head.freshness = answer.stale ? "86400" : "0";
+    head.contentLength = answerBytes;
+    head.shed = answer.shed;
+    input(index, generation, [this, head](core::Instance &core) {
+        return core.onAnswerHead(events.now(), head);
+    });
+    events.after(bodyTime, [this, index, generation, id, end = answer.end] {
+        endAttempt(index, generation, id, end);
     });
 }
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -20,9 +20,10 @@
 /** An instance with its address and state. */
 struct Member {
     InstanceRef ref; ///< incarnation 0 while Joining
-    std::string address; ///< "ip:port"
+    std::string address; ///< "ip:port" for other instances
     DataCentreId dataCentre;
     MemberState state = MemberState::Joining;
+    std::string callerAddress; ///< "ip:port" for callers; empty until the member has been heard of
 
     bool operator==(const Member &) const = default;
 };
--- a/src/membership/membershipmessage.cpp
+++ b/src/membership/membershipmessage.cpp
@@ -35,7 +35,8 @@
                         update.refutation,
                         static_cast<std::uint8_t>(update.state),
                         update.address,
-                        update.dataCentre.value});
+                        update.dataCentre.value,
+                        update.callerAddress});
 }
 
 void from_json(const Json &json, MemberUpdate &update)
@@ -46,6 +47,7 @@
     update.state = readState(json.at(3));
     update.address = json.at(4).get<std::string>();
     update.dataCentre.value = json.at(5).get<std::string>();
+    update.callerAddress = json.at(6).get<std::string>();
 }
 
 void to_json(Json &json, const Ping &ping)
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -30,6 +30,7 @@
     if (update.state == MemberState::Suspect || update.state == MemberState::Failed) {
         update.address.clear();
         update.dataCentre.value.clear();
+        update.callerAddress.clear();
     }
     return update;
 }
@@ -38,7 +39,7 @@
     : m_selfId(self.ref.id)
 {
     MemberRecord record;
-    record.update = MemberUpdate{self.ref, 0, MemberState::Live, self.address, self.dataCentre};
+    record.update = MemberUpdate{self.ref, 0, MemberState::Live, self.address, self.dataCentre, self.callerAddress};
     m_records.emplace(m_selfId, record);
     publishView();
 }
@@ -73,9 +74,12 @@
     record.local = false;
     record.update.ref = update.ref;
     record.update.refutation = update.refutation;
-    if (!update.address.empty() && (update.address != record.update.address || update.dataCentre != record.update.dataCentre)) {
+    const bool moved = update.address != record.update.address || update.dataCentre != record.update.dataCentre
+                       || update.callerAddress != record.update.callerAddress;
+    if (!update.address.empty() && moved) {
         record.update.address = update.address;
         record.update.dataCentre = update.dataCentre;
+        record.update.callerAddress = update.callerAddress;
         m_changed = true;
     }
     setState(now, record, update.state);
--- a/src/membership/membertableviews.cpp
+++ b/src/membership/membertableviews.cpp
@@ -82,7 +82,8 @@
     view.members.reserve(m_records.size());
     for (const auto &[id, record] : m_records) {
         const MemberState state = shownState(record);
-        view.members.push_back(Member{record.update.ref, record.update.address, record.update.dataCentre, state});
+        view.members.push_back(
+            Member{record.update.ref, record.update.address, record.update.dataCentre, state, record.update.callerAddress});
         const bool counted = record.listed || !m_hasList;
         view.listed += counted ? 1 : 0;
         view.visible += counted && (state == MemberState::Live || state == MemberState::Leaving) ? 1 : 0;
--- a/src/placement/placecaller.cpp
+++ b/src/placement/placecaller.cpp
@@ -26,7 +26,7 @@
         if (answer.addresses.size() == maximumAddresses) {
             break;
         }
-        answer.addresses.push_back(member->address);
+        answer.addresses.push_back(member->callerAddress);
     }
     if (ordered.empty()) {
         return answer;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -22,7 +22,7 @@
 Member makeMember(int number, MemberState state)
 {
     const std::string name = "instance" + std::to_string(number);
-    return Member{{InstanceId{name}, 7}, name + ":80", DataCentreId{"dc" + std::to_string(number % 3)}, state};
+    return Member{{InstanceId{name}, 7}, name + ":80", DataCentreId{"dc" + std::to_string(number % 3)}, state, name + ":8080"};
 }
 
 membership::MembershipViewPointer makeView(const std::map<int, MemberState> &states, std::uint64_t epoch)
