--- a/src/contract/textrules.cpp
+++ b/src/contract/textrules.cpp
@@ -30,7 +30,7 @@
 
 bool isPathCharacter(char byte)
 {
-    return byte > ' ' && byte < 0x7f && std::string_view("?#\"<>\\^`{|}").find(byte) == std::string_view::npos;
+    return byte > ' ' && byte < 0x7f && std::string_view("%?#\"<>\\^`{|}").find(byte) == std::string_view::npos;
 }
 
 // A decimal number without sign or leading zeros.
--- a/src/contract/valuerules.cpp
+++ b/src/contract/valuerules.cpp
@@ -114,7 +114,7 @@
 
 ValueRule<std::string> pathPrefixRule()
 {
-    return textRule("path of 1 to 200 bytes that starts with '/', without query, empty segments, '.' or '..'", isPathPrefix);
+    return textRule("path of 1 to 200 bytes that starts with '/', without query, '%', empty segments, '.' or '..'", isPathPrefix);
 }
 
 ValueRule<std::string> addressRule()
--- a/test/correctness/contractcommands_test.cpp
+++ b/test/correctness/contractcommands_test.cpp
@@ -16,10 +16,14 @@
 
 namespace {
 
+std::string projectFile(const std::string &path)
+{
+    return (std::filesystem::path(__FILE__).parent_path().parent_path().parent_path() / path).string();
+}
+
 std::string exampleFile(const std::string &customer)
 {
-    const auto root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
-    return (root / "examples" / (customer + ".contract.json")).string();
+    return projectFile("examples/" + customer + ".contract.json");
 }
 
 void checkExample(const std::string &customer, contract::Weight weight, const std::map<std::string, std::size_t> &targets)
@@ -62,6 +66,8 @@
     std::ostringstream err;
     CHECK(cli::runExplain(exampleFile("quetzal"), false, table, err) == 0);
     CHECK(cli::runExplain(exampleFile("quetzal"), true, json, err) == 0);
+    std::stringstream documentation;
+    documentation << std::ifstream(projectFile("docs/contract.md")).rdbuf();
     std::istringstream rows(table.str());
     std::string row;
     std::getline(rows, row);
@@ -76,6 +82,7 @@
         CHECK_MESSAGE(subject == value["subject"], "a row is about another subject");
         CHECK_MESSAGE(name == value["name"], "a row is about another value");
         CHECK_MESSAGE((value["value"].is_null() ? shown == "none" : nlohmann::json::parse(shown) == value["value"]), "a value differs");
+        CHECK_MESSAGE(documentation.str().find("| `" + name + "` |") != std::string::npos, name << " is not in docs/contract.md");
         CHECK_MESSAGE(row.substr(ruleColumn) == value["rule"], "the rule is not in its column");
     }
     CHECK_MESSAGE(!std::getline(rows, row), "the table has more rows than the JSON has values");
@@ -83,7 +90,7 @@
 
 TEST_CASE("faults and unreadable files have their own exit codes")
 {
-    const auto file = (std::filesystem::temp_directory_path() / "jackdawdoor-faulty.contract.json").string();
+    const auto file = (std::filesystem::current_path() / "faulty.contract.json").string();
     std::ofstream(file) << "{\n\"customer\": 7\n}";
     std::ostringstream out;
     std::ostringstream err;
@@ -93,6 +100,6 @@
     const std::string fault = file + ":2: customer: the number 7 is not accepted\n    accepted: ";
     CHECK_MESSAGE(err.str().find(fault) != std::string::npos, "the fault's line, key, reason or range is not printed: " << err.str());
     CHECK_MESSAGE(cli::runCheck(file, out, err) == 2, "a missing file has another exit code");
-    CHECK_MESSAGE(cli::runCheck(std::filesystem::temp_directory_path().string(), out, err) == 2, "a directory has another exit code");
+    CHECK_MESSAGE(cli::runCheck(std::filesystem::current_path().string(), out, err) == 2, "a directory has another exit code");
     CHECK_MESSAGE(out.str().empty(), "a refused contract gives output");
 }
