--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -26,9 +26,9 @@
     MembershipMessages out;
     std::visit(
         [&](const auto &typed) {
-            mergeUpdates(now, typed.updates);
+            const std::vector<MemberUpdate> refutations = mergeUpdates(now, typed.updates);
             m_table.heardFrom(now, from);
-            answer(now, from, typed, out);
+            answer(now, from, typed, refutations, out);
         },
         message);
     m_table.publishView();
@@ -125,8 +125,11 @@
     }
 }
 
-void Membership::mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates)
+/** Returns refutations known here of doubts that the sender still has. Without them a sender that missed a refutation
+ * would later declare the member failed. */
+std::vector<MemberUpdate> Membership::mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates)
 {
+    std::vector<MemberUpdate> refutations;
     const std::size_t count = std::min(updates.size(), synchronisationPage + maximumRumours + 1);
     for (std::size_t index = 0; index < count; ++index) {
         const MemberUpdate &update = updates[index];
@@ -134,8 +137,16 @@
             mergeOwn(update);
         } else if (const auto rumour = m_table.merge(now, update)) {
             m_rumours.add(*rumour);
+        } else if (update.state >= MemberState::Suspect && refutations.size() < maximumRumours) {
+            const MemberRecord *record = m_table.find(update.ref.id);
+            const bool refuted = record != nullptr && record->update.ref == update.ref && record->update.state < MemberState::Suspect
+                                 && record->update.refutation > update.refutation;
+            if (refuted) {
+                refutations.push_back(record->update);
+            }
         }
     }
+    return refutations;
 }
 
 void Membership::mergeOwn(const MemberUpdate &update)
@@ -163,23 +174,31 @@
     m_table.setSelf(own);
 }
 
-std::vector<MemberUpdate> Membership::updatesFor(const InstanceRef &receiver)
+/** The rumour of this instance itself, and a doubt of the receiver that it must hear in order to refute it. */
+std::vector<MemberUpdate> Membership::doubtsFor(const InstanceRef &receiver) const
 {
     std::vector<MemberUpdate> updates{m_table.self()};
-    std::size_t room = maximumRumours;
-    // A doubted member must hear the doubt first of all, so that it can refute.
     const MemberRecord *record = m_table.find(receiver.id);
     if (record != nullptr && !record->local && record->update.state >= MemberState::Suspect) {
         updates.push_back(compactRumour(record->update));
-        --room;
     }
-    for (MemberUpdate &rumour : m_rumours.take(room, m_table.fleetSize())) {
+    return updates;
+}
+
+std::vector<MemberUpdate> Membership::updatesFor(const InstanceRef &receiver)
+{
+    std::vector<MemberUpdate> updates = doubtsFor(receiver);
+    for (MemberUpdate &rumour : m_rumours.take(maximumRumours + 1 - updates.size(), m_table.fleetSize())) {
         updates.push_back(std::move(rumour));
     }
     return updates;
 }
 
-void Membership::answer(TimePoint, const InstanceRef &from, const Ping &ping, MembershipMessages &out)
+void Membership::answer(TimePoint,
+                        const InstanceRef &from,
+                        const Ping &ping,
+                        const std::vector<MemberUpdate> &refutations,
+                        MembershipMessages &out)
 {
     Ack ack;
     ack.sequence = ping.sequence;
@@ -188,6 +207,7 @@
         appendPage(from.id, ping, ack);
     } else {
         ack.updates = updatesFor(from);
+        ack.updates.insert(ack.updates.end(), refutations.begin(), refutations.end());
     }
     if (!ping.updates.empty() && ping.updates.front().ref == from) {
         const MemberUpdate &sender = ping.updates.front();
@@ -199,19 +219,31 @@
     out.push_back({from, ack});
 }
 
-void Membership::answer(TimePoint now, const InstanceRef &from, const PingRequest &request, MembershipMessages &out)
+void Membership::answer(TimePoint now,
+                        const InstanceRef &from,
+                        const PingRequest &request,
+                        const std::vector<MemberUpdate> &refutations,
+                        MembershipMessages &out)
 {
+    if (!refutations.empty()) {
+        Ack ack{request.sequence, m_table.self().ref, false, {m_table.self()}};
+        ack.updates.insert(ack.updates.end(), refutations.begin(), refutations.end());
+        out.push_back({from, std::move(ack)});
+    }
     const std::uint64_t sequence = ++m_sequence;
     m_relays.emplace(sequence, Relay{from, request.sequence, now});
     out.push_back({request.target, Ping{sequence, false, {}, updatesFor(request.target)}});
 }
 
-void Membership::answer(TimePoint, const InstanceRef &, const Ack &ack, MembershipMessages &out)
+void Membership::answer(TimePoint now, const InstanceRef &from, const Ack &ack, const std::vector<MemberUpdate> &, MembershipMessages &out)
 {
     if (ack.sequence == 0 || ack.sequence > m_sequence) {
         return;
     }
     m_failuresInRow = 0;
+    if (ack.answered == from) {
+        m_table.answeredBy(now, from);
+    }
     if (ack.sequence >= m_firstSequenceAfterPause) {
         m_paused = false;
     }
@@ -221,9 +253,15 @@
     const auto relay = m_relays.find(ack.sequence);
     if (relay != m_relays.end()) {
         const InstanceRef asker = relay->second.asker;
-        out.push_back({asker, Ack{relay->second.askerSequence, ack.answered, false, updatesFor(asker)}});
+        std::vector<MemberUpdate> updates = updatesFor(asker);
+        // The asker needs the target's own word, which may be a refutation.
+        if (const MemberRecord *target = m_table.find(ack.answered.id); target != nullptr && target->update.ref == ack.answered) {
+            updates.insert(updates.begin() + 1, target->update);
+        }
+        out.push_back({asker, Ack{relay->second.askerSequence, ack.answered, false, std::move(updates)}});
         m_relays.erase(relay);
     }
+    m_table.extendSuspicion(now, ack.answered);
     std::erase_if(m_probes, [&ack](const Probe &probe) {
         return probe.sequence == ack.sequence && probe.target.id == ack.answered.id;
     });
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -24,9 +24,10 @@
 namespace jackdawdoor::membership {
 
 constexpr Duration pingPeriod = std::chrono::seconds{1};
-/** Well above the round trip of 1 ms between data centres, and short enough to leave indirect pings 700 ms. */
+/** Well above the round trip of 1 ms between data centres, and short enough for two rounds of indirect pings. */
 constexpr Duration ackTimeout = std::chrono::milliseconds{300};
-/** Members asked to ping a silent one. */
+/** Members asked to ping a silent one, in each of two rounds. A suspect loses its rank, so that a false suspicion moves
+ * callers; the second round makes one rare under one-way losses and delays no detection. */
 constexpr std::size_t indirectPings = 3;
 /** A gap between ticks longer than a slot lease means that this instance's leases may have lapsed unnoticed. */
 constexpr Duration pauseGap = std::chrono::seconds{2};
@@ -34,8 +35,13 @@
 constexpr Duration deafAfter = std::chrono::seconds{3};
 /** Likewise after this many failed probes in a row: more likely its own messages are lost than all those members. */
 constexpr int isolatedAfterFailures = 3;
-/** Helpers are preferably members heard from in this time, because their answers do arrive here. */
-constexpr Duration recentlyHeard = std::chrono::seconds{10};
+/** Before an instance itself declares a suspect failed, it probes it once more by all paths: a refutation may have been
+ * lost on the way here, and a single instance that missed it would make the suspect fail everywhere. */
+constexpr Duration verificationTime = pingPeriod;
+/** Verifications under way at most, so that the loss of a whole data centre doesn't cause a burst of pings. */
+constexpr std::size_t maximumVerifications = 4;
+/** Helpers are preferably members that answered this instance directly in this time: both ways to them work. */
+constexpr Duration recentlyAnswered = std::chrono::seconds{10};
 /** After a longer silence or pause the beliefs are too old to pass on; the instance synchronises anew. */
 constexpr Duration staleAfter = std::chrono::seconds{60};
 /** Pages of a synchronisation are this far apart. At 4,100 members it takes 20 s. */
@@ -85,7 +91,8 @@
         InstanceRef target;
         std::uint64_t sequence = 0;
         TimePoint sentAt;
-        bool indirect = false; ///< the indirect pings are out
+        int helperRounds = 0; ///< rounds of indirect pings that are out
+        std::vector<InstanceId> helpers; ///< those asked
         bool repeated = false; ///< of a member already suspected
     };
     struct Relay {
@@ -98,13 +105,20 @@
     void notePause(TimePoint now, Duration gap);
     void noteHearing(TimePoint now);
     void updateIsolation(TimePoint now);
-    void mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates);
+    std::vector<MemberUpdate> mergeUpdates(TimePoint now, const std::vector<MemberUpdate> &updates);
     void mergeOwn(const MemberUpdate &update);
     void raiseRefutation(std::uint32_t above);
+    std::vector<MemberUpdate> doubtsFor(const InstanceRef &receiver) const;
     std::vector<MemberUpdate> updatesFor(const InstanceRef &receiver);
-    void answer(TimePoint now, const InstanceRef &from, const Ping &ping, MembershipMessages &out);
-    void answer(TimePoint now, const InstanceRef &from, const PingRequest &request, MembershipMessages &out);
-    void answer(TimePoint now, const InstanceRef &from, const Ack &ack, MembershipMessages &out);
+    void
+    answer(TimePoint now, const InstanceRef &from, const Ping &ping, const std::vector<MemberUpdate> &refutations, MembershipMessages &out);
+    void answer(TimePoint now,
+                const InstanceRef &from,
+                const PingRequest &request,
+                const std::vector<MemberUpdate> &refutations,
+                MembershipMessages &out);
+    void
+    answer(TimePoint now, const InstanceRef &from, const Ack &ack, const std::vector<MemberUpdate> &refutations, MembershipMessages &out);
     void appendPage(const InstanceId &reader, const Ping &ping, Ack &ack) const;
     void takePage(const Ack &ack);
 
@@ -112,12 +126,13 @@
     void startPeriod(TimePoint now, MembershipMessages &out);
     void startProbe(TimePoint now, const InstanceRef &target, MembershipMessages &out);
     void askHelpers(Probe &probe, TimePoint now, MembershipMessages &out);
+    void verifySuspects(TimePoint now, MembershipMessages &out);
     void concludeProbes(TimePoint now, MembershipMessages &out);
     void pingSome(std::size_t count, MembershipMessages &out);
     void pingOneUnheard(MembershipMessages &out);
     void synchronise(TimePoint now, MembershipMessages &out);
     std::optional<InstanceRef> nextTarget();
-    std::vector<InstanceRef> chooseHelpers(TimePoint now, const InstanceId &target);
+    std::vector<InstanceRef> chooseHelpers(TimePoint now, const Probe &probe);
     bool hasPeers() const;
 
     RandomSource &m_random;
--- a/src/membership/membershipprobes.cpp
+++ b/src/membership/membershipprobes.cpp
@@ -40,6 +40,7 @@
 
     MembershipMessages out;
     concludeProbes(now, out);
+    verifySuspects(now, out);
     for (const MemberUpdate &rumour : m_table.expire(now)) {
         m_rumours.add(rumour);
     }
@@ -77,17 +78,42 @@
     pingOneUnheard(out);
 }
 
+void Membership::verifySuspects(TimePoint now, MembershipMessages &out)
+{
+    const auto underWay = std::count_if(m_probes.begin(), m_probes.end(), [](const Probe &probe) {
+        return probe.repeated;
+    });
+    auto room = static_cast<std::ptrdiff_t>(maximumVerifications) - underWay;
+    for (const InstanceRef &suspect : m_table.suspectsToVerify(now, verificationTime)) {
+        if (room-- <= 0) {
+            break;
+        }
+        startProbe(now, suspect, out);
+        m_probes.back().repeated = true;
+        askHelpers(m_probes.back(), now, out);
+    }
+}
+
 void Membership::startProbe(TimePoint now, const InstanceRef &target, MembershipMessages &out)
 {
     const std::uint64_t sequence = ++m_sequence;
-    m_probes.push_back(Probe{target, sequence, now, false, false});
+    m_probes.push_back(Probe{target, sequence, now, 0, {}, false});
     out.push_back({target, Ping{sequence, false, {}, updatesFor(target)}});
 }
 
 void Membership::askHelpers(Probe &probe, TimePoint now, MembershipMessages &out)
 {
-    probe.indirect = true;
-    for (const InstanceRef &helper : chooseHelpers(now, probe.target.id)) {
+    ++probe.helperRounds;
+    for (const InstanceRef &helper : chooseHelpers(now, probe)) {
+        probe.helpers.push_back(helper.id);
+        const MemberRecord *record = m_table.find(probe.target.id);
+        if (probe.repeated && record != nullptr) {
+            // The helper passes the doubt on or knows its refutation; it needs no other rumour.
+            std::vector<MemberUpdate> updates = doubtsFor(helper);
+            updates.push_back(compactRumour(record->update));
+            out.push_back({helper, PingRequest{probe.sequence, probe.target, std::move(updates)}});
+            continue;
+        }
         out.push_back({helper, PingRequest{probe.sequence, probe.target, updatesFor(helper)}});
     }
 }
@@ -95,7 +121,7 @@
 void Membership::concludeProbes(TimePoint now, MembershipMessages &out)
 {
     for (Probe &probe : m_probes) {
-        if (!probe.indirect && now - probe.sentAt >= ackTimeout) {
+        if (probe.helperRounds < 2 && now - probe.sentAt >= ackTimeout * (probe.helperRounds + 1)) {
             askHelpers(probe, now, out);
         }
     }
@@ -141,16 +167,17 @@
     return std::nullopt;
 }
 
-std::vector<InstanceRef> Membership::chooseHelpers(TimePoint now, const InstanceId &target)
+std::vector<InstanceRef> Membership::chooseHelpers(TimePoint now, const Probe &probe)
 {
     std::vector<InstanceRef> recent;
     std::vector<InstanceRef> others;
     for (const auto &[id, record] : m_table.records()) {
-        if (id == target || id == m_table.self().ref.id || !isLive(record)) {
+        const bool asked = std::find(probe.helpers.begin(), probe.helpers.end(), id) != probe.helpers.end();
+        if (asked || id == probe.target.id || id == m_table.self().ref.id || !isLive(record)) {
             continue;
         }
-        const bool heard = record.heardAt && now - *record.heardAt <= recentlyHeard;
-        (heard ? recent : others).push_back(record.update.ref);
+        const bool answered = record.answeredAt && now - *record.answeredAt <= recentlyAnswered;
+        (answered ? recent : others).push_back(record.update.ref);
     }
     sample(recent, indirectPings, m_random);
     sample(others, indirectPings - recent.size(), m_random);
@@ -184,9 +211,9 @@
         }
     }
     sample(targets, 1, m_random);
+    // Rumours would be wasted on a member that is probably gone.
     for (const InstanceRef &target : targets) {
-        const std::uint64_t sequence = ++m_sequence;
-        out.push_back({target, Ping{sequence, false, {}, updatesFor(target)}});
+        out.push_back({target, Ping{++m_sequence, false, {}, doubtsFor(target)}});
     }
 }
 
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -66,7 +66,7 @@
         return std::nullopt;
     }
     if (update.ref != record.update.ref) {
-        record.heardAt.reset();
+        record.answeredAt.reset();
         record.staleAddress.clear();
         m_changed = true;
     }
@@ -80,6 +80,7 @@
     }
     setState(now, record, update.state);
     record.since = now;
+    record.verified = false;
     return compactRumour(record.update);
 }
 
@@ -134,13 +135,20 @@
         return;
     }
     MemberRecord &record = found->second;
-    record.heardAt = now;
     if (record.local && !m_isolated) {
         record.local = false;
         setState(now, record, MemberState::Live);
     }
 }
 
+void MemberTable::answeredBy(TimePoint now, const InstanceRef &ref)
+{
+    const auto found = m_records.find(ref.id);
+    if (found != m_records.end() && found->second.update.ref == ref) {
+        found->second.answeredAt = now;
+    }
+}
+
 std::optional<MemberUpdate> MemberTable::suspect(TimePoint now, const InstanceRef &ref)
 {
     const auto found = m_records.find(ref.id);
@@ -152,10 +160,34 @@
         return std::nullopt;
     }
     record.local = m_isolated;
+    record.verified = false;
     setState(now, record, MemberState::Suspect);
     return record.local ? std::nullopt : std::optional{compactRumour(record.update)};
 }
 
+std::vector<InstanceRef> MemberTable::suspectsToVerify(TimePoint now, Duration margin)
+{
+    std::vector<InstanceRef> found;
+    const Duration timeout = suspicionTimeout(m_fleetSize);
+    for (auto &[id, record] : m_records) {
+        const bool due = record.update.state == MemberState::Suspect && now - record.since >= timeout - margin;
+        if (due && !record.verified) {
+            record.verified = true;
+            found.push_back(record.update.ref);
+        }
+    }
+    return found;
+}
+
+void MemberTable::extendSuspicion(TimePoint now, const InstanceRef &ref)
+{
+    const auto found = m_records.find(ref.id);
+    if (found != m_records.end() && found->second.update.ref == ref && found->second.update.state == MemberState::Suspect) {
+        found->second.since = now;
+        found->second.verified = false;
+    }
+}
+
 std::vector<MemberUpdate> MemberTable::expire(TimePoint now)
 {
     std::vector<MemberUpdate> rumours;
@@ -164,6 +196,7 @@
         MemberRecord &record = item->second;
         if (record.update.state == MemberState::Suspect && now - record.since >= timeout) {
             setState(now, record, MemberState::Failed);
+            record.local = record.local || m_isolated;
             if (!record.local) {
                 rumours.push_back(compactRumour(record.update));
             }
@@ -199,7 +232,7 @@
             continue;
         }
         record.local = false;
-        record.heardAt.reset();
+        record.answeredAt.reset();
         setState(now, record, MemberState::Joining);
     }
 }
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -28,10 +28,11 @@
 struct MemberRecord {
     MemberUpdate update; ///< the largest rumour so far, with address and data centre kept
     TimePoint since; ///< time of the last change of state
-    std::optional<TimePoint> heardAt; ///< last message from the member itself
+    std::optional<TimePoint> answeredAt; ///< last direct answer to this instance
     bool listed = false;
     /** Incarnation that was known when the list began to call the member leaving; a later one isn't meant. */
     std::optional<Incarnation> listedLeaving;
+    bool verified = false; ///< the last check before declaring the suspect failed has been made
     bool local = false; ///< suspected while this instance was isolated; such a belief isn't passed on
     std::string staleAddress; ///< address of an earlier incarnation that still sends
 };
@@ -54,9 +55,18 @@
     /** Notes a message from the member. */
     void heardFrom(TimePoint now, const InstanceRef &ref);
 
+    /** Notes a direct answer of the member, which proves that both ways work. */
+    void answeredBy(TimePoint now, const InstanceRef &ref);
+
     /** Suspects the member; returns the rumour, or nothing while isolated. */
     std::optional<MemberUpdate> suspect(TimePoint now, const InstanceRef &ref);
 
+    /** Suspects whose time is over within `margin` and that weren't returned before. */
+    std::vector<InstanceRef> suspectsToVerify(TimePoint now, Duration margin);
+
+    /** Gives a suspect that answered its full time again; its refutation is on the way. */
+    void extendSuspicion(TimePoint now, const InstanceRef &ref);
+
     /** Turns old suspicions into failures, forgets old failures; returns rumours to pass on. */
     std::vector<MemberUpdate> expire(TimePoint now);
 
