Test configuration and publishing in virtual time

Guards against lost or reverted contracts under retention, log outages and restarts, slow propagation, oversized messages, and wrong publish results. A body is now asked for again after 1 s instead of 2 s.

--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -24,7 +24,7 @@
 /** More versions than this at once come from catching up; peers know them or find them by digests. */
 constexpr std::size_t maximumAnnounced = 16;
 /** A body that was asked for and didn't come is asked for again after this time. */
-constexpr Duration requestRetry = std::chrono::seconds{2};
+constexpr Duration requestRetry = std::chrono::seconds{1};
 
 /** A customer whose contract in force changed. */
 struct ConfigurationChange {
--- a/test/correctness/configurationhistory.h
+++ b/test/correctness/configurationhistory.h
@@ -60,6 +60,18 @@
         return state;
     }
 
+    /** Version that the publish of this id was accepted as, by the whole log; 0 when it was not. */
+    configuration::Version acceptedVersion(const std::string &publishId) const
+    {
+        for (configuration::Offset offset = 0; offset < end(); ++offset) {
+            const auto *publish = m_decoded[offset] ? std::get_if<configuration::Publish>(&*m_decoded[offset]) : nullptr;
+            if (publish != nullptr && publish->publishId == publishId && stateAt(publish->customer, offset + 1).version == offset + 1) {
+                return offset + 1;
+            }
+        }
+        return 0;
+    }
+
     void append(std::string record)
     {
         m_decoded.push_back(configuration::decodeRecord(record));
