Detect gray upstreams within the targets and concentrate a holder's work

A holder now uses a working set with about 4 requests/s each, and a rather slow answer brings idempotent checks.

--- a/src/health/graydetector.cpp
+++ b/src/health/graydetector.cpp
@@ -12,8 +12,13 @@
 /** Lower bound of the healthy failure rate: a service that never failed must not eject on its first two errors. */
 constexpr double smallestFailureRate = 0.005;
 constexpr double largestFailureRate = 0.9;
-/** Evidence from which on an upstream is looked at more closely: one failure, or one slow answer. */
-constexpr double suspicion = 1.2;
+/** Evidence from which on an upstream is looked at more closely: one failure, or one clearly slow answer. */
+constexpr double suspicion = 0.5;
+/** Without a further bad answer for this long, ordinary work goes to a suspect again: where no request may serve as a
+ * check, nothing else could clear it. The score is kept. */
+constexpr Duration suspicionLifetime = std::chrono::seconds{2};
+/** How long one rather slow answer calls for a check. */
+constexpr Duration checkTime = std::chrono::milliseconds{500};
 /** Scores stop growing at this multiple of the threshold, so that a recovery shows soon. */
 constexpr double scoreBound = 1.5;
 constexpr double shareWeight = 0.1; ///< of the newest answer in the moving shares
@@ -21,8 +26,8 @@
 constexpr double severityOfFailure = 10; ///< failing always is worse than being slow
 constexpr double microsecondsPerSecond = 1e6;
 constexpr int mostHeldFailures = 10;
-/** Sibling upstreams that must have answered well before an upstream is ejected. */
-constexpr std::size_t minimumWellSiblings = 2;
+/** Sibling upstreams that must have answered well, after the first evidence, before an upstream is ejected. */
+constexpr std::size_t minimumWellSiblings = 1;
 
 bool countsOnlyWithNewConnection(const Observation &observation)
 {
@@ -144,6 +149,7 @@
     }
     auto &state = m_upstreams[upstream];
     const double excess = std::log(static_cast<double>(std::max<Duration::rep>(observation.firstByte.count(), 1))) - *baseline;
+    state.lastExcess = excess;
     state.recentExcess += excessWeight * (excess - state.recentExcess);
 }
 
@@ -160,7 +166,11 @@
     state.answered = true;
     state.lastAnswer = now;
     state.lastAnswerBad = bad;
-    state.badAnswers += bad ? 1 : 0;
+    if (bad) {
+        ++state.badAnswers;
+        state.lastBad = now;
+        state.everBad = true;
+    }
     if (state.errors <= 0 && state.slowness <= 0) {
         state.badAnswers = 0;
     }
@@ -178,11 +188,18 @@
     return score;
 }
 
-bool GrayDetector::isSuspect(TimePoint now, std::size_t upstream) const
+bool GrayDetector::hasEvidence(TimePoint now, std::size_t upstream) const
 {
     return score(now, upstream).larger() >= suspicion;
 }
 
+bool GrayDetector::isSuspect(TimePoint now, std::size_t upstream) const
+{
+    const auto &state = m_upstreams[upstream];
+    const bool recent = state.everBad && now - state.lastBad < suspicionLifetime;
+    return (recent || inProgressEvidence(now, upstream).slow > 0) && hasEvidence(now, upstream);
+}
+
 bool GrayDetector::isGray(TimePoint now, std::size_t upstream) const
 {
     const auto &state = m_upstreams[upstream];
@@ -213,6 +230,7 @@
     state.heldFailures = 0;
     state.failureShare = 0;
     state.recentExcess = 0;
+    state.lastExcess = 0;
 }
 
 double GrayDetector::grayRate(double healthyRate)
@@ -237,6 +255,18 @@
     return std::clamp(*middle, smallestFailureRate, largestFailureRate);
 }
 
+bool GrayDetector::deservesCheck(TimePoint now, std::size_t upstream) const
+{
+    const auto &state = m_upstreams[upstream];
+    if (state.lastExcess >= m_slowness.checkExcess() && now - state.lastAnswer < checkTime) {
+        return true;
+    }
+    const bool overdue = std::any_of(state.running.begin(), state.running.end(), [now](const Running &running) {
+        return running.slowAfter != Duration::max() && now - running.started >= running.slowAfter * SlownessTest::checkPart;
+    });
+    return overdue || isSuspect(now, upstream);
+}
+
 double GrayDetector::slownessRatio(const OperationId &operation, std::size_t upstream, Duration latency, bool stillRunning) const
 {
     const auto baseline = m_baseline.siblingMedianLog(operation, upstream);
@@ -283,7 +313,7 @@
         (sibling.lastAnswerBad ? bad : well) += 1;
     }
     // Three in five: a data centre of three may fail, but a fault that most siblings share is the service's.
-    return well >= std::min(minimumWellSiblings, m_upstreams.size() - 1) && 2 * well > 3 * bad;
+    return well >= minimumWellSiblings && 2 * well > 3 * bad;
 }
 
 } // namespace jackdawdoor::health
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -46,9 +46,15 @@
 
     GrayScore score(TimePoint now, std::size_t upstream) const;
 
-    /** There is enough evidence to look at the upstream more closely, though not enough to eject it. */
+    /** There is some evidence against the upstream, though perhaps not enough to eject it. */
+    bool hasEvidence(TimePoint now, std::size_t upstream) const;
+
+    /** There is some recent evidence: the upstream should be looked at more closely. */
     bool isSuspect(TimePoint now, std::size_t upstream) const;
 
+    /** It is suspect, or its last answer was rather slow: a harmless request there soon tells more. */
+    bool deservesCheck(TimePoint now, std::size_t upstream) const;
+
     /** There is enough evidence to eject the upstream, and its siblings are well. */
     bool isGray(TimePoint now, std::size_t upstream) const;
 
@@ -96,9 +102,12 @@
         TimePoint lastAnswer;
         bool lastAnswerBad = false;
         bool answered = false;
+        TimePoint lastBad;
+        bool everBad = false;
         int heldFailures = 0; ///< failures on old connections, not counted until a new connection fails too
         double failureShare = 0;
         double shedShare = 0;
+        double lastExcess = 0; ///< log(latency / baseline) of the last success
         double recentExcess = 0; ///< moving mean of log(latency / baseline)
         std::vector<Running> running;
     };
--- a/src/health/localhealth.cpp
+++ b/src/health/localhealth.cpp
@@ -29,6 +29,7 @@
     , m_detector(policy.health, policy.upstreams.size())
     , m_floor(policy.health.healthyFloor)
     , m_entries(policy.upstreams.size(), Entry{policy.health})
+    , m_workingSet(policy, m_self)
     , m_lastDispatched(policy.upstreams.size())
 {
     for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
@@ -49,10 +50,13 @@
     }
     auto &entry = m_entries[*index];
     entry.lastStarted = now;
+    m_consecutive = m_lastDispatched == *index ? m_consecutive + 1 : 1;
     m_lastDispatched = *index;
     m_detector.attemptStarted(now, *index, attempt, operation, freshConnection);
     if (kind == AttemptKind::Trial) {
         entry.probation.trialStarted(now);
+    } else {
+        m_workingSet.onRequest(now);
     }
 }
 
@@ -100,9 +104,20 @@
         updateWish(now, index);
     }
     applyFloor(now, changes);
+    updateWorkingSet(now);
     return changes;
 }
 
+void LocalHealth::updateWorkingSet(TimePoint now)
+{
+    std::vector<bool> usable;
+    usable.reserve(m_entries.size());
+    for (const auto &entry : m_entries) {
+        usable.push_back(isAvailable(now, entry) && !entry.probation.isEjected() && !entry.kept);
+    }
+    m_workingSet.update(now, usable);
+}
+
 void LocalHealth::finishTrial(TimePoint now, std::size_t index, bool good, std::vector<HealthChange> &changes)
 {
     auto &entry = m_entries[index];
@@ -142,7 +157,7 @@
     if (entry.probation.isEjected()) {
         return;
     }
-    if (entry.wantsEjection && !entry.ejectedByFleet && !m_detector.isSuspect(now, index)) {
+    if (entry.wantsEjection && !entry.ejectedByFleet && !m_detector.hasEvidence(now, index)) {
         entry.wantsEjection = false;
     }
     if (!entry.wantsEjection && m_detector.isGray(now, index)) {
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -9,6 +9,7 @@
 #include "health/probation.h"
 #include "health/upstreamstate.h"
 #include "health/verdict.h"
+#include "health/workingset.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -97,6 +98,7 @@
     void updateWish(TimePoint now, std::size_t index);
     void applyFloor(TimePoint now, std::vector<HealthChange> &changes);
     void applyVerdict(TimePoint now, const Verdict &verdict, std::vector<HealthChange> &changes);
+    void updateWorkingSet(TimePoint now);
     std::string describe(TimePoint now, std::size_t index) const;
 
     contract::ServicePolicy m_policy;
@@ -106,7 +108,9 @@
     GrayDetector m_detector;
     FloorGuard m_floor;
     std::vector<Entry> m_entries;
-    std::size_t m_lastDispatched = 0; ///< upstream of the latest attempt; checks alternate with ordinary work
+    WorkingSet m_workingSet;
+    std::size_t m_lastDispatched = 0; ///< upstream of the latest attempt
+    int m_consecutive = 0; ///< latest attempts that all went there
     bool m_urgent = false;
 };
 
--- a/src/health/localhealthview.cpp
+++ b/src/health/localhealthview.cpp
@@ -9,8 +9,13 @@
 
 /** Checks of one suspect that may run at once. */
 constexpr int mostChecks = 4;
+/** Checks alternate with requests to other upstreams, since an ejection needs answers of healthy siblings as well. */
+constexpr int checksInARow = 3;
 /** Good answers within one report that settle a second opinion. */
 constexpr std::uint32_t enoughForOpinion = 5;
+/** An upstream that only the floor keeps gets a check this often, and after a longer time without any ordinary work. */
+constexpr Duration keptCheckInterval = std::chrono::milliseconds{500};
+constexpr Duration keptReview = std::chrono::seconds{10};
 /** Weight of failures and shed responses in the expected latency. */
 constexpr double failurePenalty = 4;
 constexpr double shedPenalty = 4;
@@ -35,6 +40,7 @@
     state.inProgress = m_detector.inProgress(*index);
     state.unused = now - entry.lastStarted;
     state.severity = score.severity;
+    state.preferred = m_workingSet.contains(*index);
     state.newConnection = m_detector.needsNewConnection(now, *index);
     if (entry.leaving || entry.draining) {
         state.standing = entry.leaving ? Standing::Leaving : Standing::Draining;
@@ -46,10 +52,16 @@
         return state;
     }
     const bool opinionWanted = now < entry.opinionUntil && entry.good < enoughForOpinion;
-    state.checkDue = (suspect || opinionWanted) && !entry.kept && state.inProgress < mostChecks && m_lastDispatched != *index;
+    const bool kept = entry.kept && state.unused < keptReview;
+    if (entry.kept) {
+        state.checkDue = state.unused >= keptCheckInterval && state.inProgress == 0;
+    } else {
+        state.checkDue = (opinionWanted || m_detector.deservesCheck(now, *index)) && state.inProgress < mostChecks
+                         && (m_lastDispatched != *index || m_consecutive < checksInARow);
+    }
     if (isCold(now, entry)) {
         state.standing = Standing::Cold;
-    } else if (suspect) {
+    } else if (suspect || kept) {
         state.standing = Standing::Suspect;
     } else if (state.share < 1) {
         state.standing = Standing::Ramping;
--- a/src/health/slownesstest.cpp
+++ b/src/health/slownesstest.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+double SlownessTest::checkExcess() const
+{
+    return m_slow + std::log(checkPart);
+}
+
 double SlownessTest::finishedRatio(double excess, double spread) const
 {
     const double ratio = (m_gray - m_tolerated) / (spread * spread) * (excess - m_slow);
--- a/src/health/slownesstest.h
+++ b/src/health/slownesstest.h
@@ -14,6 +14,9 @@
     /** Bound of the evidence from one answer, so that one outlier decides nothing. */
     static constexpr double largestStep = 3.0;
 
+    /** From this part of the slow ratio on, an answer calls for a check though it is no evidence yet. */
+    static constexpr double checkPart = 0.75;
+
     explicit SlownessTest(double slowRatio);
 
     /** excess: log(latency / healthy median). spread: standard deviation of the logarithm of healthy latencies. */
@@ -22,6 +25,9 @@
     /** As finishedRatio for a request that is still running; 0 until it is past the slow ratio. */
     double runningRatio(double excess, double spread) const;
 
+    /** Logarithm of checkPart of the slow ratio. */
+    double checkExcess() const;
+
 private:
     double m_slow; ///< logarithms of factors of the healthy median
     double m_tolerated;
--- a/src/health/upstreamstate.h
+++ b/src/health/upstreamstate.h
@@ -27,6 +27,7 @@
     Standing standing = Standing::Healthy;
     bool trialDue = false; ///< an idempotent request should be sent now as a trial (AttemptKind::Trial)
     bool checkDue = false; ///< suspect, or a second opinion is wanted: the next idempotent request should go here
+    bool preferred = true; ///< one of the upstreams that this holder concentrates its work on
     bool newConnection = false; ///< attempts should open a new connection
     double share = 1; ///< share of normal traffic, below 1 while ramping
     int inProgress = 0; ///< attempts running now
--- /dev/null
+++ b/src/health/workingset.cpp
@@ -0,0 +1,66 @@
+#include "health/workingset.h"
+
+#include "base/stablehash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** Requests per second that each chosen upstream gets: the first failing request comes within 0.25 s on average. */
+constexpr double wantedRate = 4;
+/** Fewer upstreams would make the median over them depend on a single gray one. */
+constexpr std::size_t smallestSet = 5;
+constexpr double averagingSeconds = 5;
+/** The set keeps its size while the wanted one is within this part of it: an upstream that left for a moment would be
+ * out of sight meanwhile, and random arrivals change the rate by some tenths. */
+constexpr double tolerance = 0.4;
+
+} // namespace
+
+WorkingSet::WorkingSet(const contract::ServicePolicy &policy, const InstanceId &self)
+    : m_order(policy.upstreams.size())
+    , m_size(smallestSet)
+    , m_chosen(policy.upstreams.size(), true)
+{
+    std::iota(m_order.begin(), m_order.end(), 0);
+    std::sort(m_order.begin(), m_order.end(), [&policy, &self](std::size_t left, std::size_t right) {
+        return rendezvousWeight(self.value, policy.upstreams[left].id.value)
+               > rendezvousWeight(self.value, policy.upstreams[right].id.value);
+    });
+}
+
+void WorkingSet::onRequest(TimePoint now)
+{
+    m_rate = requestsPerSecond(now) + 1 / averagingSeconds;
+    m_updated = now;
+}
+
+void WorkingSet::update(TimePoint now, const std::vector<bool> &usable)
+{
+    const double wanted = std::max(requestsPerSecond(now) / wantedRate, static_cast<double>(smallestSet));
+    const auto present = static_cast<double>(m_size);
+    if (std::abs(wanted - present) > tolerance * present) {
+        m_size = static_cast<std::size_t>(std::ceil(wanted));
+    }
+    std::size_t chosen = 0;
+    for (const auto index : m_order) {
+        m_chosen[index] = usable[index] && chosen < m_size;
+        chosen += m_chosen[index] ? 1 : 0;
+    }
+}
+
+bool WorkingSet::contains(std::size_t upstream) const
+{
+    return m_chosen[upstream];
+}
+
+double WorkingSet::requestsPerSecond(TimePoint now) const
+{
+    return m_rate * std::exp(-toSeconds(now - m_updated) / averagingSeconds);
+}
+
+} // namespace jackdawdoor::health
--- /dev/null
+++ b/src/health/workingset.h
@@ -0,0 +1,41 @@
+/** The upstreams on which a holder with little traffic concentrates. */
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "contract/policy.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace jackdawdoor::health {
+
+/** Chooses so few upstreams that each gets enough requests for a quick detection.
+ *
+ * With 20 requests/s over 25 upstreams, an upstream gets a request every 1.25 s, and a fault there could not be found
+ * within 1 s. Each instance ranks the upstreams by rendezvous hashing, so that different instances use different ones.
+ */
+class WorkingSet
+{
+public:
+    WorkingSet(const contract::ServicePolicy &policy, const InstanceId &self);
+
+    /** Counts an ordinary request. */
+    void onRequest(TimePoint now);
+
+    /** Chooses again among the usable upstreams; to be called when these change and regularly. */
+    void update(TimePoint now, const std::vector<bool> &usable);
+
+    bool contains(std::size_t upstream) const;
+
+private:
+    double requestsPerSecond(TimePoint now) const;
+
+    std::vector<std::size_t> m_order; ///< upstreams in the order of this instance
+    std::size_t m_size;
+    std::vector<bool> m_chosen;
+    double m_rate = 0; ///< requests per second at m_updated
+    TimePoint m_updated;
+};
+
+} // namespace jackdawdoor::health
--- a/src/routing/chooseupstream.cpp
+++ b/src/routing/chooseupstream.cpp
@@ -24,6 +24,9 @@
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             classify(index);
         }
+        if (m_usable.empty()) {
+            m_usable = m_spare;
+        }
     }
 
     RoutingDecision decide()
@@ -74,6 +77,9 @@
         } else if (state.share < 1 && uniform(m_random) >= state.share) {
             m_reasons[index] = PassedOverReason::Ramping;
             m_lastResort.push_back(index);
+        } else if (!state.preferred) {
+            m_reasons[index] = PassedOverReason::NotPreferred;
+            m_spare.push_back(index);
         } else {
             m_usable.push_back(index);
         }
@@ -171,6 +177,7 @@
     std::vector<std::size_t> m_trials;
     std::vector<std::size_t> m_checks;
     std::vector<std::size_t> m_usable;
+    std::vector<std::size_t> m_spare;
     std::vector<std::size_t> m_lastResort;
     bool m_withoutSlot = false;
 };
@@ -223,6 +230,8 @@
         return "suspect";
     case PassedOverReason::Ramping:
         return "ramping";
+    case PassedOverReason::NotPreferred:
+        return "not-preferred";
     case PassedOverReason::LongerWait:
         return "longer-wait";
     case PassedOverReason::NotDrawn:
--- a/src/routing/chooseupstream.h
+++ b/src/routing/chooseupstream.h
@@ -53,6 +53,7 @@
     NoSlot,
     Suspect,
     Ramping, ///< it gets only a share of the traffic for now
+    NotPreferred, ///< usable, but outside of the working set of this holder
     LongerWait,
     NotDrawn, ///< usable, but not among the candidates compared
 };
