--- a/src/core/servicetable.cpp
+++ b/src/core/servicetable.cpp
@@ -88,6 +88,7 @@
 
 void ServiceTable::onTick(TimePoint now)
 {
+    takeUpCoordination(now);
     tickCoordinators(now);
     std::vector<ServiceId> idle;
     for (auto &[id, service] : m_services) {
@@ -102,6 +103,26 @@
     }
 }
 
+void ServiceTable::takeUpCoordination(TimePoint now)
+{
+    const std::uint64_t epoch = m_placement.view().epoch;
+    if (epoch == m_coordinationEpoch && !m_configurationChanged) {
+        return;
+    }
+    m_coordinationEpoch = epoch;
+    m_configurationChanged = false;
+    // A new coordinator leases nothing for one lease term. Starting before the first request hides that time.
+    for (const auto &[customer, version] : m_configuration.versions()) {
+        const configuration::PolicyPointer policy = m_configuration.policyOf(customer);
+        if (!policy) {
+            continue;
+        }
+        for (const contract::ServicePolicy &service : policy->services) {
+            coordinate(now, service.id);
+        }
+    }
+}
+
 void ServiceTable::tickCoordinators(TimePoint now)
 {
     const membership::MembershipView &view = m_placement.view();
@@ -212,6 +233,7 @@
 
 void ServiceTable::onConfigurationChanged(TimePoint now, const CustomerId &customer)
 {
+    m_configurationChanged = true;
     const auto state = m_configuration.stateOf(customer);
     const configuration::PolicyPointer policy = m_configuration.policyOf(customer);
     for (auto &[id, service] : m_services) {
--- a/src/core/servicetable.h
+++ b/src/core/servicetable.h
@@ -67,6 +67,7 @@
     const contract::ServicePolicy *policyOf(const ServiceId &service, configuration::PolicyPointer &customer) const;
     ServiceCoordinator *coordinate(TimePoint now, const ServiceId &service);
     bool isCoordinator(const ServiceId &service);
+    void takeUpCoordination(TimePoint now);
     void tickCoordinators(TimePoint now);
     void tickService(TimePoint now, ServiceState &service);
     bool isIdle(TimePoint now, const ServiceState &service) const;
@@ -79,6 +80,8 @@
     std::map<ServiceId, std::unique_ptr<ServiceState>> m_services;
     std::map<ServiceId, std::unique_ptr<ServiceCoordinator>> m_coordinated;
     std::vector<std::string> m_leavingAddresses; ///< sorted
+    std::uint64_t m_coordinationEpoch = 0; ///< view for which coordination was last taken up
+    bool m_configurationChanged = false; ///< since coordination was last taken up
 };
 
 } // namespace jackdawdoor::core
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -23,7 +23,7 @@
     std::string address; ///< "ip:port" for other instances
     DataCentreId dataCentre;
     MemberState state = MemberState::Joining;
-    std::string callerAddress; ///< "ip:port" for callers; empty until the member has been heard of
+    std::string callerAddress = {}; ///< "ip:port" for callers; empty until the member has been heard of
 
     bool operator==(const Member &) const = default;
 };
--- a/src/membership/membershipmessage.h
+++ b/src/membership/membershipmessage.h
@@ -29,7 +29,7 @@
     MemberState state = MemberState::Live;
     std::string address; ///< empty for suspect and failed members
     DataCentreId dataCentre; ///< empty for suspect and failed members
-    std::string callerAddress; ///< empty for suspect and failed members
+    std::string callerAddress = {}; ///< empty for suspect and failed members
 
     bool operator==(const MemberUpdate &) const = default;
 };
