Add the platform clients and the driver of the decision core

The driver turns the tasks' signals into inputs of the core and carries out its effects; it keeps each request's content until the request has ended. Tasks post through mailboxes that outlive them, since a pipe's hook could otherwise run after its task was destroyed.

--- a/src/net/decisioncore.h
+++ b/src/net/decisioncore.h
@@ -37,6 +37,9 @@
     bool operator==(const AttemptOrder &) const = default;
 };
 
+/** Name of an attempt's end in metrics, such as "short-body". */
+std::string attemptEndName(core::AttemptEnd end);
+
 /** An answer that the system gives from a stored outcome. */
 struct StoredAnswer {
     int status = 0;
--- /dev/null
+++ b/src/net/effects.cpp
@@ -0,0 +1,141 @@
+/** Effects of the core, carried out by the driver. */
+#include "net/coredriver.h"
+
+#include "net/refusalanswer.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::net {
+
+void CoreDriver::giveAnswer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end()) {
+        pipe->closeConsumer();
+        return;
+    }
+    if (!found->second.answered) {
+        found->second.answered = true;
+        found->second.front->answer(request, std::move(pipe));
+    }
+}
+
+void CoreDriver::dispatch(core::RequestId request, const AttemptOrder &order)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end()) {
+        // The caller has left while the core decided; the core still gets a report for its slot.
+        core::AttemptReport report;
+        report.attempt = order.attempt;
+        report.end = core::AttemptEnd::Cancelled;
+        m_loop.post([this, report] {
+            onAttemptFinished(report);
+        });
+        return;
+    }
+    found->second.known = true;
+    Attempt attempt;
+    attempt.request = request;
+    attempt.pipe = std::make_shared<AnswerPipe>();
+    attempt.dispatched = now();
+    m_tasks.upstreams.start(order, found->second.upstreamContent, attempt.pipe);
+    m_attempts.emplace(order.attempt, std::move(attempt));
+}
+
+void CoreDriver::cancel(core::AttemptId attempt)
+{
+    m_tasks.upstreams.cancel(attempt);
+}
+
+void CoreDriver::relayAnswer(core::RequestId request, core::AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    const auto asked = m_requests.find(request);
+    if (found == m_attempts.end() || asked == m_requests.end()) {
+        return;
+    }
+    const Duration upstreamTime = found->second.headArrived - found->second.dispatched;
+    m_tasks.metrics.observeAddedLatency(now() - asked->second.arrived - upstreamTime);
+    giveAnswer(request, found->second.pipe);
+}
+
+void CoreDriver::relayStored(core::RequestId request, const StoredAnswer &answer)
+{
+    giveAnswer(request, storedAnswer(answer));
+}
+
+void CoreDriver::refuse(core::RequestId request, const core::Refusal &refusal)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end()) {
+        return;
+    }
+    found->second.refused = true;
+    found->second.known = found->second.known || refusal.stage != core::RefusalStage::NoContract;
+    m_tasks.metrics.countRefusal(core::stageName(refusal.stage));
+    giveAnswer(request, refusalAnswer(refusal));
+}
+
+void CoreDriver::forward(core::RequestId request, const InstanceRef &peer, const std::string &address)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.content) {
+        return;
+    }
+    Request &asked = found->second;
+    asked.forwarded = true;
+    asked.known = true;
+    RequestContent content = *asked.content;
+    if (asked.head.deadline > Duration{}) {
+        const Duration left = std::max<Duration>(asked.head.deadline - (now() - asked.arrived), std::chrono::milliseconds{1});
+        setHeader(content.headers, "X-Deadline-Ms", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(left).count()));
+    }
+    auto pipe = std::make_shared<AnswerPipe>();
+    m_tasks.peers.forward(request, peer, address, content, pipe);
+    // Without a head the core may still choose another way, so the caller is joined to the pipe only then.
+    pipe->setConsumerHook([this, request, weak = std::weak_ptr(pipe), mailbox = m_loop.mailbox()] {
+        mailbox->post([this, request, weak] {
+            if (const auto waiting = weak.lock()) {
+                onForwardHead(request, waiting);
+            }
+        });
+    });
+}
+
+void CoreDriver::onForwardHead(core::RequestId request, const std::shared_ptr<AnswerPipe> &pipe)
+{
+    if (pipe->head()) {
+        giveAnswer(request, pipe);
+    }
+}
+
+void CoreDriver::sendPeerMessage(const InstanceRef &peer, const std::string &address, std::string message)
+{
+    m_tasks.peers.send(peer, address, std::move(message));
+}
+
+void CoreDriver::readLog(std::uint64_t fromOffset, std::uint32_t maximumRecords)
+{
+    m_tasks.platform.readLog(fromOffset, maximumRecords);
+}
+
+void CoreDriver::appendLog(std::string record)
+{
+    m_tasks.platform.append(record);
+}
+
+void CoreDriver::logDecision(const telemetry::DecisionLine &decision)
+{
+    m_tasks.metrics.countDecision(decision.kind);
+    if (decision.kind == "eject") {
+        m_tasks.metrics.countEjection(decision.customer);
+    }
+    telemetry::logDecision(decision);
+}
+
+void CoreDriver::stopFinished()
+{
+    m_stopFinished = true;
+}
+
+} // namespace jackdawdoor::net
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <future>
+#include <utility>
 
 namespace jackdawdoor::net {
 
@@ -33,9 +34,39 @@
     return TimePoint{std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
 }
 
+Mailbox::Mailbox(event *wake)
+    : m_wake(wake)
+{
+}
+
+void Mailbox::post(Message message)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_wake == nullptr) {
+        return;
+    }
+    m_queue.push_back(std::move(message));
+    event_active(m_wake, EV_TIMEOUT, 0);
+}
+
+std::vector<Mailbox::Message> Mailbox::take()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_queue, {});
+}
+
+void Mailbox::close()
+{
+    std::vector<Message> dropped;
+    const std::lock_guard lock(m_mutex);
+    m_wake = nullptr;
+    dropped.swap(m_queue);
+}
+
 EventLoop::EventLoop()
     : m_base(newBase())
     , m_wake(event_new(m_base, -1, EV_PERSIST, &EventLoop::onWake, this))
+    , m_mailbox(std::make_shared<Mailbox>(m_wake))
 {
     event_add(m_wake, nullptr);
 }
@@ -43,6 +74,8 @@
 EventLoop::~EventLoop()
 {
     stop();
+    m_kept.clear();
+    m_mailbox->close();
     event_free(m_wake);
     event_base_free(m_base);
 }
@@ -69,11 +102,12 @@
 
 void EventLoop::post(Message message)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_queue.push_back(std::move(message));
-    }
-    event_active(m_wake, EV_TIMEOUT, 0);
+    m_mailbox->post(std::move(message));
+}
+
+std::shared_ptr<Mailbox> EventLoop::mailbox() const
+{
+    return m_mailbox;
 }
 
 void EventLoop::call(const Message &message)
@@ -90,6 +124,17 @@
     done.get_future().wait();
 }
 
+void EventLoop::keep(std::shared_ptr<void> object)
+{
+    const void *key = object.get();
+    m_kept.emplace(key, std::move(object));
+}
+
+void EventLoop::release(const void *object)
+{
+    m_kept.erase(object);
+}
+
 event_base *EventLoop::base() const
 {
     return m_base;
@@ -102,12 +147,7 @@
 
 void EventLoop::runQueued()
 {
-    std::vector<Message> messages;
-    {
-        const std::lock_guard lock(m_mutex);
-        messages.swap(m_queue);
-    }
-    for (const Message &message : messages) {
+    for (const Message &message : m_mailbox->take()) {
         message();
     }
 }
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,11 +22,34 @@
 /** Present time on the monotonic system clock, as the decision core counts it. */
 TimePoint now();
 
+/** Message queue of an event loop. Holders may post at any time, also after the loop has gone. */
+class Mailbox
+{
+public:
+    using Message = std::function<void()>;
+
+    explicit Mailbox(event *wake);
+
+    /** Queues a message; dropped when the loop has gone. Callable from any thread. */
+    void post(Message message);
+
+    /** Takes all queued messages. */
+    std::vector<Message> take();
+
+    /** The loop is going. */
+    void close();
+
+private:
+    std::mutex m_mutex;
+    std::vector<Message> m_queue;
+    event *m_wake;
+};
+
 /** Thread with an event base and a queue of messages. */
 class EventLoop
 {
 public:
-    using Message = std::function<void()>;
+    using Message = Mailbox::Message;
 
     EventLoop();
     ~EventLoop(); ///< stops the thread
@@ -41,9 +65,18 @@
     /** Queues a message; it runs on the loop's thread, in the order of posting. Callable from any thread. */
     void post(Message message);
 
+    /** The queue, for those who may outlive the loop. */
+    std::shared_ptr<Mailbox> mailbox() const;
+
     /** Runs a message on the loop's thread and waits for its end. Runs it at once when the loop is not started or from its own thread. */
     void call(const Message &message);
 
+    /** Owns an object until release(), or until the loop is destroyed. On the loop's thread only. */
+    void keep(std::shared_ptr<void> object);
+
+    /** Destroys an object that is kept. */
+    void release(const void *object);
+
     /** The libevent base, for the task that owns the loop. */
     event_base *base() const;
 
@@ -53,8 +86,8 @@
 
     event_base *m_base;
     event *m_wake;
-    std::mutex m_mutex;
-    std::vector<Message> m_queue;
+    std::shared_ptr<Mailbox> m_mailbox;
+    std::map<const void *, std::shared_ptr<void>> m_kept;
     std::thread m_thread;
     bool m_started = false;
 };
--- /dev/null
+++ b/src/net/httpfetch.h
@@ -0,0 +1,39 @@
+/** One bounded HTTP exchange, for the platform's services and for the commands. */
+#pragma once
+
+#include "base/error.h"
+#include "net/eventloop.h"
+#include "net/httpmessage.h"
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace jackdawdoor::net {
+
+/** What to ask. */
+struct FetchRequest {
+    std::string method = "GET"; ///< GET, POST or PUT
+    std::string url; ///< http://host:port/path
+    std::string body;
+    Duration timeout = std::chrono::seconds{2}; ///< for the whole exchange
+    std::size_t maximumAnswerBytes = std::size_t{16} * 1024 * 1024;
+
+    bool operator==(const FetchRequest &) const = default;
+};
+
+/** An answer with any status. */
+struct FetchAnswer {
+    int status = 0;
+    std::string body;
+
+    bool operator==(const FetchAnswer &) const = default;
+};
+
+/** Starts an exchange; onDone is called once, on the loop's thread. When the loop goes first, it is not called. */
+void fetch(EventLoop &loop, const FetchRequest &request, std::function<void(const Result<FetchAnswer> &)> onDone);
+
+/** Runs an exchange and waits for it. */
+Result<FetchAnswer> fetchAndWait(const FetchRequest &request);
+
+} // namespace jackdawdoor::net
--- a/src/net/httpfrontend.cpp
+++ b/src/net/httpfrontend.cpp
@@ -91,8 +91,8 @@
         return;
     }
     found->second.pipe = pipe;
-    pipe->setConsumerHook([this, request] {
-        m_loop.post([this, request] {
+    pipe->setConsumerHook([this, request, mailbox = m_loop.mailbox()] {
+        mailbox->post([this, request] {
             pump(request);
         });
     });
--- a/src/net/peerforward.cpp
+++ b/src/net/peerforward.cpp
@@ -14,8 +14,8 @@
         m_onForwardFailed(order.request, true);
         return;
     }
-    order.pipe->setProducerHook([this, stream, alive = m_alive] {
-        m_loop.post([this, stream, alive] {
+    order.pipe->setProducerHook([this, stream, alive = m_alive, mailbox = m_loop.mailbox()] {
+        mailbox->post([this, stream, alive] {
             if (*alive) {
                 onRoom(stream);
             }
--- a/src/net/peersession.cpp
+++ b/src/net/peersession.cpp
@@ -149,8 +149,8 @@
         }
         return taken;
     });
-    pipe->setConsumerHook([this, stream, alive = m_alive] {
-        m_loop.post([this, stream, alive] {
+    pipe->setConsumerHook([this, stream, alive = m_alive, mailbox = m_loop.mailbox()] {
+        mailbox->post([this, stream, alive] {
             if (*alive) {
                 m_connection.resume(stream);
             }
--- a/src/net/upstreamattempt.cpp
+++ b/src/net/upstreamattempt.cpp
@@ -97,8 +97,8 @@
     if (m_report.newConnection) {
         m_connectTimer.set(std::min(maximumConnectTime, m_order.attemptTimeout / 2));
     }
-    m_pipe->setProducerHook([this, alive = m_alive] {
-        m_loop.post([this, alive] {
+    m_pipe->setProducerHook([this, alive = m_alive, mailbox = m_loop.mailbox()] {
+        mailbox->post([this, alive] {
             if (*alive) {
                 resume();
             }
