Test settings files by one fault each

The first fault depended on the compiler's order of evaluating arguments; the test saw listen.peers before listen.callers. Values are now read in order.

--- a/src/settings/settingsfile.cpp
+++ b/src/settings/settingsfile.cpp
@@ -186,20 +186,32 @@
 SettingsBuilder readAll(ObjectReader root, const std::string &fileName)
 {
     root.allowOnly({"instance", "data_centre", "listen", "advertise", "platform", "log", "fleet_key", "fleet_key_file"});
+    // Each value is read on its own line, since the order in which arguments are evaluated is open and the first fault counts.
     SettingsBuilder builder;
-    builder.identity(root.text("instance"), root.text("data_centre"));
+    const std::string instance = root.text("instance");
+    const std::string dataCentre = root.text("data_centre");
+    builder.identity(instance, dataCentre);
     ObjectReader listen = root.child("listen");
     listen.allowOnly({"callers", "operators", "peers"});
-    builder.listen(listen.endpoint("callers"), listen.endpoint("operators"), listen.endpoint("peers"));
+    const Endpoint callers = listen.endpoint("callers");
+    const Endpoint operators = listen.endpoint("operators");
+    const Endpoint peers = listen.endpoint("peers");
+    builder.listen(callers, operators, peers);
     ObjectReader advertise = root.child("advertise");
     advertise.allowOnly({"callers", "peers"});
-    builder.advertise(advertise.optionalAddress("callers"), advertise.optionalAddress("peers"));
+    const std::string advertisedCallers = advertise.optionalAddress("callers");
+    const std::string advertisedPeers = advertise.optionalAddress("peers");
+    builder.advertise(advertisedCallers, advertisedPeers);
     ObjectReader platform = root.child("platform");
     platform.allowOnly({"log_service", "instance_list"});
-    builder.platform(platform.url("log_service"), platform.url("instance_list"));
+    const std::string logService = platform.url("log_service");
+    const std::string instanceList = platform.url("instance_list");
+    builder.platform(logService, instanceList);
     ObjectReader log = root.child("log");
     log.allowOnly({"level", "format"});
-    builder.logging(readLevel(log), readFormat(log));
+    const LogLevel level = readLevel(log);
+    const LogFormat format = readFormat(log);
+    builder.logging(level, format);
     builder.fleetKey(readFleetKey(root, fileName));
     return builder;
 }
