--- a/src/net/coredriver.cpp
+++ b/src/net/coredriver.cpp
@@ -130,7 +130,11 @@
 {
     if (m_stopFinished && m_requests.empty() && !m_stopped) {
         m_stopped = true;
-        signalStopped.emit();
+        m_tasks.peers.whenDelivered([this, mailbox = m_loop.mailbox()] {
+            mailbox->post([this] {
+                signalStopped.emit();
+            });
+        });
     }
 }
 
--- a/src/net/http2connection.cpp
+++ b/src/net/http2connection.cpp
@@ -84,6 +84,11 @@
     return now - m_lastReceived;
 }
 
+std::size_t Http2Connection::unsent() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_buffers));
+}
+
 void Http2Connection::receive()
 {
     evbuffer *input = bufferevent_get_input(m_buffers);
--- a/src/net/http2connection.h
+++ b/src/net/http2connection.h
@@ -68,6 +68,9 @@
     /** Time since bytes last arrived. */
     Duration silence(TimePoint now) const;
 
+    /** Bytes that wait in this process. */
+    std::size_t unsent() const;
+
     /** Closes the connection; the closed event follows. */
     void fail(const std::string &reason);
 
--- a/src/net/httpfrontend.cpp
+++ b/src/net/httpfrontend.cpp
@@ -46,11 +46,12 @@
     m_server = std::make_unique<HttpServer>(m_loop, m_limits, [this](evhttp_request *request) {
         accept(request);
     });
-    auto bound = m_server->listen(endpoint);
-    if (bound.has_value()) {
-        m_loop.start();
-    }
-    return bound;
+    return m_server->listen(endpoint);
+}
+
+void HttpFrontEnd::start()
+{
+    m_loop.start();
 }
 
 void HttpFrontEnd::answer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe)
@@ -145,8 +146,12 @@
     }
     const bool whole = !open.announced || *open.announced == open.sent;
     if (taken.state == AnswerPipe::State::Complete && whole) {
-        open.exchange->end();
-        finish(request, RequestEnd::Answered);
+        // The request ends when its last byte has left, so that a planned stop cuts off no answer.
+        open.exchange->end([this, request, mailbox = m_loop.mailbox()](bool sent) {
+            mailbox->post([this, request, sent] {
+                finish(request, sent ? RequestEnd::Answered : RequestEnd::CallerGone);
+            });
+        });
     } else {
         open.exchange->abort();
         finish(request, RequestEnd::Broken);
--- a/src/net/httpfrontend.h
+++ b/src/net/httpfrontend.h
@@ -23,9 +23,12 @@
     HttpFrontEnd(const HttpFrontEnd &) = delete;
     HttpFrontEnd &operator=(const HttpFrontEnd &) = delete;
 
-    /** Binds the listener and starts the task. Connect the signals before. */
+    /** Binds the listener; the result has its real port. */
     Result<settings::Endpoint> listen(const settings::Endpoint &endpoint);
 
+    /** Starts the task. Connect the signals before. */
+    void start();
+
     void answer(core::RequestId request, std::shared_ptr<AnswerPipe> pipe) override;
 
     /** From now on, each answer asks its caller to open a new connection, elsewhere. */
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -84,10 +84,14 @@
     return m_state == State::Established;
 }
 
+bool PeerLink::delivered() const
+{
+    return m_streams.empty() && m_messages.empty() && m_waitingForwards.empty();
+}
+
 bool PeerLink::disposable(TimePoint now) const
 {
-    const bool empty = m_streams.empty() && m_messages.empty() && m_waitingForwards.empty();
-    return empty && now - m_lastUse > idleTime;
+    return delivered() && now - m_lastUse > idleTime;
 }
 
 void PeerLink::check(TimePoint now)
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -60,6 +60,9 @@
     /** True when the other side has proved itself on the present connection. */
     bool established() const;
 
+    /** Nothing waits for the peer or for its answer. */
+    bool delivered() const;
+
     /** Nothing was sent for a long time and nothing waits. */
     bool disposable(TimePoint now) const;
 
--- a/src/net/peersession.cpp
+++ b/src/net/peersession.cpp
@@ -174,6 +174,11 @@
     }
 }
 
+bool PeerSession::sent() const
+{
+    return m_streams.empty() && m_connection.unsent() == 0;
+}
+
 void PeerSession::check(TimePoint now)
 {
     if (!m_proved && now - m_openedAt > maximumHandshakeTime) {
--- a/src/net/peersession.h
+++ b/src/net/peersession.h
@@ -34,6 +34,9 @@
     /** Answers a forwarded request. */
     void answer(std::int32_t stream, std::shared_ptr<AnswerPipe> pipe);
 
+    /** All that was to be sent has left this process. */
+    bool sent() const;
+
     /** Ends connections that did not prove themselves in time or were silent for too long. */
     void check(TimePoint now);
 
--- a/src/net/peertask.cpp
+++ b/src/net/peertask.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdawdoor::net {
 
@@ -13,6 +14,7 @@
 
 constexpr Duration checkInterval = std::chrono::milliseconds{200};
 constexpr std::size_t maximumSessions = 8192;
+constexpr Duration maximumDeliveryTime = std::chrono::seconds{2};
 constexpr int backlog = 1024;
 
 } // namespace
@@ -52,9 +54,32 @@
     if (m_listener == nullptr) {
         return Error{"listen", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
     }
+    return settings::Endpoint{endpoint.host, boundPort(evconnlistener_get_fd(m_listener))};
+}
+
+void PeerTask::start()
+{
     m_checkTimer.set(checkInterval);
     m_loop.start();
-    return settings::Endpoint{endpoint.host, boundPort(evconnlistener_get_fd(m_listener))};
+}
+
+void PeerTask::whenDelivered(std::function<void()> done)
+{
+    m_loop.post([this, done = std::move(done)] {
+        m_onDelivered = done;
+        m_deliveryDeadline = now() + maximumDeliveryTime;
+        check();
+    });
+}
+
+bool PeerTask::delivered() const
+{
+    const bool sent = std::all_of(m_links.begin(), m_links.end(), [](const auto &entry) {
+        return entry.second->delivered();
+    });
+    return sent && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
+               return entry.second->sent();
+           });
 }
 
 void PeerTask::send(const InstanceRef &to, const std::string &address, std::string message)
@@ -178,6 +203,9 @@
     for (auto &entry : m_sessions) {
         entry.second->check(present);
     }
+    if (m_onDelivered && (delivered() || present > m_deliveryDeadline)) {
+        std::exchange(m_onDelivered, {})();
+    }
     m_checkTimer.set(checkInterval);
 }
 
--- a/src/net/peertask.h
+++ b/src/net/peertask.h
@@ -28,9 +28,15 @@
     PeerTask(const PeerTask &) = delete;
     PeerTask &operator=(const PeerTask &) = delete;
 
-    /** Binds the listener and starts the task. Connect the signals before. */
+    /** Binds the listener; the result has its real port. */
     Result<settings::Endpoint> listen(const settings::Endpoint &endpoint);
 
+    /** Starts the task. Connect the signals before. */
+    void start();
+
+    /** Calls done on this task's thread when all messages were delivered and all answers sent, after two seconds at most. */
+    void whenDelivered(std::function<void()> done);
+
     /** Sends a control message, best effort. */
     void send(const InstanceRef &to, const std::string &address, std::string message);
 
@@ -61,11 +67,14 @@
     void onAnswerEnded(std::uint64_t session, std::int32_t stream, bool complete);
     PeerLink *link(const std::string &address);
     void check();
+    bool delivered() const;
 
     PeerIdentity m_identity;
     RequestNumbers m_numbers;
     EventLoop m_loop;
     Timer m_checkTimer;
+    std::function<void()> m_onDelivered;
+    TimePoint m_deliveryDeadline{};
     evconnlistener *m_listener = nullptr;
     std::map<std::string, std::unique_ptr<PeerLink>> m_links; ///< by address
     std::map<core::RequestId, Inbound> m_inbound;
--- a/src/net/serverexchange.cpp
+++ b/src/net/serverexchange.cpp
@@ -52,13 +52,18 @@
 
 } // namespace
 
+/** What is left to do when the last bytes are on their way; owned by the two callbacks, of which one is called. */
+struct ServerExchange::Ending {
+    ServerLimits limits;
+    std::function<void(bool)> onSent;
+};
+
 ServerExchange::ServerExchange(EventLoop &loop, evhttp_request *request, const ServerLimits &limits, Hook onGone)
     : m_loop(loop)
     , m_request(request)
     , m_limits(limits)
     , m_onGone(std::move(onGone))
 {
-    evhttp_request_set_on_complete_cb(request, &ServerExchange::onComplete, const_cast<ServerLimits *>(&limits));
     watchForClose();
 }
 
@@ -86,18 +91,28 @@
     bufferevent_enable(bufferedSocket, EV_READ);
 }
 
-void ServerExchange::onComplete(evhttp_request *request, void *limits)
+void ServerExchange::onComplete(evhttp_request *request, void *ending)
 {
-    const auto &bounds = *static_cast<const ServerLimits *>(limits);
-    evhttp_connection *connection = evhttp_request_get_connection(request);
-    if (connection == nullptr) {
-        return;
+    const std::unique_ptr<Ending> done(static_cast<Ending *>(ending));
+    if (evhttp_connection *connection = evhttp_request_get_connection(request)) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        bufferevent *bufferedSocket = evhttp_connection_get_bufferevent(connection);
+        const timeval read = toTimeval(done->limits.readTimeout);
+        const timeval write = toTimeval(done->limits.writeTimeout);
+        bufferevent_setwatermark(bufferedSocket, EV_READ, 0, done->limits.maximumBodyBytes + done->limits.maximumHeaderBytes);
+        bufferevent_set_timeouts(bufferedSocket, &read, &write);
+    }
+    if (done->onSent) {
+        done->onSent(true);
+    }
+}
+
+void ServerExchange::onCloseWhileEnding(evhttp_connection * /*connection*/, void *ending)
+{
+    const std::unique_ptr<Ending> lost(static_cast<Ending *>(ending));
+    if (lost->onSent) {
+        lost->onSent(false);
     }
-    bufferevent *bufferedSocket = evhttp_connection_get_bufferevent(connection);
-    const timeval read = toTimeval(bounds.readTimeout);
-    const timeval write = toTimeval(bounds.writeTimeout);
-    bufferevent_setwatermark(bufferedSocket, EV_READ, 0, bounds.maximumBodyBytes + bounds.maximumHeaderBytes);
-    bufferevent_set_timeouts(bufferedSocket, &read, &write);
 }
 
 void ServerExchange::onClose(evhttp_connection * /*connection*/, void *exchange)
@@ -200,15 +215,16 @@
     return m_closed ? 0 : evbuffer_get_length(bufferevent_get_output(buffers()));
 }
 
-void ServerExchange::end()
+void ServerExchange::end(std::function<void(bool sent)> onSent)
 {
     if (m_closed) {
         return;
     }
     m_closed = true;
-    evhttp_connection_set_closecb(connection(), nullptr, nullptr);
-    evhttp_send_reply_end(m_request);
-    m_request = nullptr;
+    auto ending = std::make_unique<Ending>(Ending{m_limits, std::move(onSent)});
+    evhttp_request_set_on_complete_cb(m_request, &ServerExchange::onComplete, ending.get());
+    evhttp_connection_set_closecb(connection(), &ServerExchange::onCloseWhileEnding, ending.release());
+    evhttp_send_reply_end(std::exchange(m_request, nullptr));
 }
 
 void ServerExchange::abort()
--- a/src/net/serverexchange.h
+++ b/src/net/serverexchange.h
@@ -63,8 +63,8 @@
     /** Bytes that wait in this process for the caller to read. */
     std::size_t unsent() const;
 
-    /** Ends the answer. */
-    void end();
+    /** Ends the answer. onSent is called when the system has taken its last byte (true) or the connection was lost before. */
+    void end(std::function<void(bool sent)> onSent = {});
 
     /** Resets the connection so that an unfinished answer cannot be taken for a complete one. */
     void abort();
@@ -74,7 +74,9 @@
 
 private:
     static void onClose(evhttp_connection *connection, void *exchange);
-    static void onComplete(evhttp_request *request, void *limits);
+    struct Ending;
+    static void onComplete(evhttp_request *request, void *ending);
+    static void onCloseWhileEnding(evhttp_connection *connection, void *ending);
     static void onWritten(evhttp_connection *connection, void *exchange);
     evhttp_connection *connection() const;
     bufferevent *buffers() const;
