--- /dev/null
+++ b/src/cli/clientcommands.h
@@ -0,0 +1,20 @@
+/** Commands that ask a running instance by HTTP. */
+#pragma once
+
+#include <ostream>
+#include <string>
+
+namespace jackdawdoor::cli {
+
+/** Prints the status of the instance at an operators' address ("http://ip:port"). Returns an ExitCode. */
+int runStatus(const std::string &instanceUrl, std::ostream &out, std::ostream &err);
+
+/** Prints where a caller of a service should connect, as the instance at a callers' address says. Returns an ExitCode. */
+int runPlace(const std::string &instanceUrl,
+             const std::string &customer,
+             const std::string &service,
+             const std::string &caller,
+             std::ostream &out,
+             std::ostream &err);
+
+} // namespace jackdawdoor::cli
--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,41 @@
+/** One command of the program, with its help. */
+#pragma once
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::cli {
+
+/** A flag that a command accepts. */
+struct CommandFlag {
+    std::string name; ///< without dashes
+    std::string help;
+    bool required = false;
+
+    bool operator==(const CommandFlag &) const = default;
+};
+
+/** A command. */
+struct Command {
+    using Run = std::function<int(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)>;
+
+    std::string name;
+    std::string arguments; ///< positional arguments as shown in help
+    std::string summary;
+    std::string exitCodes; ///< what each exit code means for this command
+    std::vector<CommandFlag> flags;
+    Run run; ///< gets the positional arguments
+};
+
+/** Help of one command. */
+std::string helpText(const Command &command);
+
+/** Help of the program: one line for each command. */
+std::string helpText(const std::vector<Command> &commands);
+
+/** Why the arguments do not fit the command's flags, or an empty string. */
+std::string flagFault(const Command &command, const std::vector<std::string> &arguments);
+
+} // namespace jackdawdoor::cli
--- a/test/error/peer_test.cpp
+++ b/test/error/peer_test.cpp
@@ -37,6 +37,7 @@
             add(content->method + " " + content->target + " " + content->body);
         });
         m_port = m_task.listen({"127.0.0.1", 0}).value().port;
+        m_task.start();
     }
 
     std::string address() const
--- a/test/standins/directproxy.cpp
+++ b/test/standins/directproxy.cpp
@@ -40,6 +40,7 @@
         throw std::runtime_error(bound.error().message());
     }
     m_port = bound.value().port;
+    m_callers.start();
 }
 
 DirectProxy::~DirectProxy() = default;
