--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,9 +1,10 @@
 /** Entry point of the jackdawdoor program. */
 #include "cli/commandline.h"
+#include "net/instancecore.h"
 
 #include <iostream>
 
 int main(int argc, char **argv)
 {
-    return jackdawdoor::cli::runCommandLine(argc, argv, {}, std::cout, std::cerr);
+    return jackdawdoor::cli::runCommandLine(argc, argv, jackdawdoor::net::makeInstanceCore, std::cout, std::cerr);
 }
--- a/src/net/decisioncore.h
+++ b/src/net/decisioncore.h
@@ -75,6 +75,7 @@
     std::string address; ///< "ip:port" for other instances
     DataCentreId dataCentre;
     bool leaving = false;
+    bool upstream = false; ///< an upstream's instance, not one of the fleet
 
     bool operator==(const ListedInstance &) const = default;
 };
@@ -139,6 +140,7 @@
     virtual JsonAnswer onPlacementQuery(TimePoint now, const PlacementQuestion &question) = 0;
     virtual void beginStop(TimePoint now, EffectTarget &target) = 0;
     virtual std::string status(TimePoint now) const = 0; ///< JSON
+    virtual JsonAnswer contractState(const CustomerId &customer) const = 0; ///< contract in force, for publishers
     virtual bool ready() const = 0; ///< a contract is known
 };
 
--- a/src/net/platformformat.cpp
+++ b/src/net/platformformat.cpp
@@ -56,7 +56,8 @@
             instances.push_back({InstanceId{entry.at("id").get<std::string>()},
                                  entry.at("address").get<std::string>(),
                                  DataCentreId{entry.at("data_centre").get<std::string>()},
-                                 entry.at("state").get<std::string>() == "leaving"});
+                                 entry.at("state").get<std::string>() == "leaving",
+                                 entry.value("role", "entry") == "upstream"});
         }
         return instances;
     });
--- a/src/net/requestrouting.cpp
+++ b/src/net/requestrouting.cpp
@@ -36,6 +36,8 @@
         m_tasks.operators.answer(id, AnswerPipe::completed({200, {type}, std::nullopt}, m_tasks.metrics.text()));
     } else if (path == "/v1/status") {
         m_tasks.operators.answer(id, jsonAnswer({200, m_core->status(now())}));
+    } else if (path == "/v1/contract") {
+        m_tasks.operators.answer(id, jsonAnswer(m_core->contractState(CustomerId{queryParameter(content.target, "customer")})));
     } else if (path == "/healthz") {
         m_tasks.operators.answer(id, jsonAnswer({200, R"({"alive":true})"}));
     } else if (path == "/readyz") {
--- a/test/standins/scriptedcore.h
+++ b/test/standins/scriptedcore.h
@@ -52,6 +52,11 @@
     net::JsonAnswer onPlacementQuery(TimePoint now, const net::PlacementQuestion &question) override;
     void beginStop(TimePoint now, net::EffectTarget &target) override;
     std::string status(TimePoint now) const override;
+    net::JsonAnswer contractState(const CustomerId &) const override
+    {
+        return {404, "{}"};
+    }
+
     bool ready() const override;
 
 private:
