--- a/src/limits/requestqueue.cpp
+++ b/src/limits/requestqueue.cpp
@@ -1,6 +1,7 @@
 #include "limits/requestqueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 
@@ -14,6 +15,7 @@
 constexpr int largestCost = 64;
 /** Weight of the newest interval in the moving mean of the service time. */
 constexpr double serviceWeight = 0.1;
+constexpr double admissionSeconds = 1; ///< time over which the rate of admissions is averaged
 /** A pause this many times longer than the usual interval shows that the service has become slower. */
 constexpr double unusualPause = 4;
 
@@ -30,7 +32,7 @@
     if (m_byId.empty()) {
         m_lastServed = now;
     }
-    result.expectedWait = waitFor(now, aheadOf(request));
+    result.expectedWait = expectedWaitOf(now, request);
     if (now + result.expectedWait >= request.deadline) {
         result.admission = QueueAdmission::DeadlineTooShort;
         return result;
@@ -47,6 +49,7 @@
         m_turns.push_back({request.organisation, {}, 0, false});
         found = m_byName.emplace(request.organisation, std::prev(m_turns.end())).first;
     }
+    noteAdmission(now);
     const Order order{request.deadline, m_nextArrival++};
     auto stored = request;
     stored.cost = std::clamp(request.cost, 1, largestCost);
@@ -69,15 +72,26 @@
         }
         if (live && organisation.deficit >= item->request.cost) {
             organisation.deficit -= item->request.cost;
+            const bool last = std::next(item) == organisation.items.end();
+            const bool turnEnds = !last && organisation.deficit < std::next(item)->request.cost;
+            if (turnEnds) {
+                endTurn();
+                return take(std::prev(m_turns.end()), item);
+            }
             return take(m_turns.begin(), item);
         }
         withoutLiveRequest = live ? 0 : withoutLiveRequest + 1;
-        organisation.inTurn = false;
-        m_turns.splice(m_turns.end(), m_turns, m_turns.begin());
+        endTurn();
     }
     return std::nullopt;
 }
 
+void RequestQueue::endTurn()
+{
+    m_turns.front().inTurn = false;
+    m_turns.splice(m_turns.end(), m_turns, m_turns.begin());
+}
+
 std::vector<std::uint64_t> RequestQueue::takeExpired(TimePoint now)
 {
     std::vector<std::uint64_t> expired;
@@ -133,7 +147,7 @@
     return waitFor(now, m_turns.size());
 }
 
-std::size_t RequestQueue::aheadOf(const QueuedRequest &request) const
+Duration RequestQueue::expectedWaitOf(TimePoint now, const QueuedRequest &request) const
 {
     std::size_t ownAhead = 0;
     if (const auto found = m_byName.find(request.organisation); found != m_byName.end()) {
@@ -141,13 +155,27 @@
         const auto position = items.upper_bound({{request.deadline, std::numeric_limits<std::uint64_t>::max()}, {}});
         ownAhead = static_cast<std::size_t>(std::distance(items.begin(), position));
     }
-    std::size_t ahead = ownAhead;
+    std::size_t othersAhead = 0;
+    std::size_t others = 0;
     for (const auto &organisation : m_turns) {
         if (organisation.name != request.organisation) {
-            ahead += std::min(organisation.items.size(), ownAhead + 1);
+            othersAhead += std::min(organisation.items.size(), ownAhead + 1);
+            ++others;
         }
     }
-    return ahead;
+    const auto presentWait = waitFor(now, ownAhead + othersAhead);
+    // Other organisations' requests that arrive meanwhile are served before ours until each has had as many turns.
+    const double ofOthers = static_cast<double>(others) / static_cast<double>(others + 1);
+    const double arriving = m_admittedPerSecond * ofOthers * toSeconds(presentWait);
+    const double atMost = static_cast<double>((ownAhead + 1) * others - othersAhead);
+    return waitFor(now, ownAhead + othersAhead + static_cast<std::size_t>(std::min(arriving, atMost)));
+}
+
+void RequestQueue::noteAdmission(TimePoint now)
+{
+    m_admittedPerSecond *= std::exp(-toSeconds(now - m_lastAdmitted) / admissionSeconds);
+    m_admittedPerSecond += 1 / admissionSeconds;
+    m_lastAdmitted = now;
 }
 
 Duration RequestQueue::waitFor(TimePoint now, std::size_t requestsAhead) const
--- a/src/limits/requestqueue.h
+++ b/src/limits/requestqueue.h
@@ -91,7 +91,9 @@
     };
     using Turn = std::list<Organisation>::iterator;
 
-    std::size_t aheadOf(const QueuedRequest &request) const;
+    void endTurn();
+    Duration expectedWaitOf(TimePoint now, const QueuedRequest &request) const;
+    void noteAdmission(TimePoint now);
     Duration waitFor(TimePoint now, std::size_t requestsAhead) const;
     std::optional<std::uint64_t> displaceFor(const QueuedRequest &request);
     QueuedRequest take(Turn turn, std::set<Item>::iterator item);
@@ -102,6 +104,8 @@
     absl::flat_hash_map<std::uint64_t, std::pair<std::string, Order>> m_byId;
     std::set<std::pair<TimePoint, std::uint64_t>> m_byDeadline; ///< deadline and id of each request
     std::uint64_t m_nextArrival = 0;
+    double m_admittedPerSecond = 0; ///< moving rate at m_lastAdmitted
+    TimePoint m_lastAdmitted;
     std::optional<TimePoint> m_lastServed;
     double m_secondsPerRequest = 0; ///< moving mean of the time between served requests; 0 when unknown
 };
--- a/src/limits/retryhint.cpp
+++ b/src/limits/retryhint.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration shortestHint = std::chrono::milliseconds{250};
-constexpr Duration longestHint = std::chrono::seconds{10};
+constexpr Duration longestHint = std::chrono::seconds{5};
 /** Time over which the rates of refusals and answers are averaged. */
 constexpr double averagingSeconds = 1.0;
 /** Refused requests per answer from which on the hint is the longest one; also covers a full outage. */
--- a/src/limits/retryhint.h
+++ b/src/limits/retryhint.h
@@ -23,7 +23,7 @@
 /** Always the same time. */
 RetryHintStrategy fixedRetryHint(Duration time);
 
-/** Time in which the refused requests of the last second can be served, within [0.25 s, 10 s]. */
+/** Time in which the refused requests of the last second can be served, within [0.25 s, 5 s]. */
 RetryHintStrategy computedRetryHint();
 
 /** Uniform between half and one and a half times the computed time, so that callers do not return together. */
