--- a/test/correctness/detection_test.cpp
+++ b/test/correctness/detection_test.cpp
@@ -35,10 +35,10 @@
     std::vector<TimePoint> lastUse(cell.upstreams);
     std::optional<std::size_t> faulty;
     bool ejected = false;
-    service.behaviour = [&faulty, &fault](TimePoint, std::size_t upstream) {
+    service.behaviour = [&faulty, &fault](TimePoint, std::size_t, std::size_t upstream) {
         return upstream == faulty ? fault : Behaviour{};
     };
-    service.onDispatch = [&lastUse](TimePoint now, std::size_t upstream, health::AttemptKind kind) {
+    service.onDispatch = [&lastUse](TimePoint now, std::size_t, std::size_t upstream, health::AttemptKind kind) {
         if (kind == health::AttemptKind::Ordinary) {
             lastUse[upstream] = now;
         }
@@ -80,12 +80,12 @@
 
 TEST_CASE("an upstream that fails every request stops receiving work within 1 s at p99")
 {
-    checkDetection({1, 1.0, false, false}, 1.0, "erroring");
+    checkDetection({.errorRate = 1}, 1.0, "erroring");
 }
 
 TEST_CASE("an upstream that becomes 5x slower stops receiving work within 2 s at p99")
 {
-    checkDetection({5, 0.002, false, false}, 2.0, "slow");
+    checkDetection({.slowness = 5}, 2.0, "slow");
 }
 
 namespace {
@@ -126,8 +126,8 @@
     SimulatedService service{servicePolicy(cell.upstreams, weight), 1, cell.rate, seed};
     Hiccups hiccups{cell.upstreams, seed + 1};
     int ejections = 0;
-    service.behaviour = [&hiccups](TimePoint now, std::size_t upstream) {
-        return Behaviour{hiccups.active(now, upstream) ? 2.0 : 1.0, 0.002, false, false};
+    service.behaviour = [&hiccups](TimePoint now, std::size_t, std::size_t upstream) {
+        return Behaviour{.slowness = hiccups.active(now, upstream) ? 2.0 : 1.0};
     };
     service.onChange = [&ejections](TimePoint, std::size_t, const health::HealthChange &change) {
         ejections += change.change == "eject" ? 1 : 0;
--- a/test/correctness/simulatedservice.h
+++ b/test/correctness/simulatedservice.h
@@ -52,13 +52,15 @@
     double errorRate = 0.002;
     bool shed = false;
     bool hang = false; ///< no answer; the attempt times out
+    bool hangOldOnly = false; ///< only connections opened earlier are silent
+    health::OutcomeKind failure = health::OutcomeKind::Error;
 };
 
 /** One service, its holders and, when there are several, its coordinator. */
 class SimulatedService
 {
 public:
-    using BehaviourHook = std::function<Behaviour(TimePoint now, std::size_t upstream)>;
+    using BehaviourHook = std::function<Behaviour(TimePoint now, std::size_t holder, std::size_t upstream)>;
 
     SimulatedService(contract::ServicePolicy policy, int holders, double ratePerHolder, std::uint64_t seed)
         : m_policy(std::move(policy))
@@ -74,10 +76,10 @@
         }
     }
 
-    BehaviourHook behaviour = [](TimePoint, std::size_t) {
+    BehaviourHook behaviour = [](TimePoint, std::size_t, std::size_t) {
         return Behaviour{};
     };
-    std::function<void(TimePoint, std::size_t upstream, health::AttemptKind)> onDispatch;
+    std::function<void(TimePoint, std::size_t holder, std::size_t upstream, health::AttemptKind)> onDispatch;
     std::function<void(TimePoint, std::size_t holder, const health::HealthChange &)> onChange;
     double idempotentShare = 1;
 
@@ -182,20 +184,20 @@
         const auto attempt = ++m_attempt;
         m_holders[holderIndex].attemptStarted(m_now, id, attempt, m_operation, decision.kind, decision.newConnection);
         if (onDispatch) {
-            onDispatch(m_now, upstream, decision.kind);
+            onDispatch(m_now, holderIndex, upstream, decision.kind);
         }
-        const auto behave = behaviour(m_now, upstream);
+        const auto behave = behaviour(m_now, holderIndex, upstream);
         const double latency = 0.020 * behave.slowness * std::exp(0.5 * std::normal_distribution<double>{}(m_random));
         health::Observation observation{
             id, m_operation, attempt, health::OutcomeKind::Success, fromSeconds(latency), decision.newConnection, decision.kind};
-        if (behave.hang) {
+        if (behave.hang || (behave.hangOldOnly && !decision.newConnection)) {
             observation.outcome = health::OutcomeKind::Timeout;
             observation.firstByte = std::chrono::seconds{1};
         } else if (behave.shed) {
             observation.outcome = health::OutcomeKind::Shed;
             observation.firstByte = std::chrono::milliseconds{1};
         } else if (uniform(m_random) < behave.errorRate) {
-            observation.outcome = health::OutcomeKind::Error;
+            observation.outcome = behave.failure;
             observation.firstByte = std::chrono::milliseconds{1}; // failing fast must not attract load
         }
         schedule(m_now + observation.firstByte, {Kind::Finish, holderIndex, observation, upstream});
