--- a/src/idempotency/idempotencymessage.cpp
+++ b/src/idempotency/idempotencymessage.cpp
@@ -25,12 +25,13 @@
     }
 }
 
-/** Unsigned number that fits; json.get() would convert negative and fractional numbers silently. */
+/** Non-negative number that fits; json.get() would convert negative and fractional numbers silently. */
 template <typename Number>
 Number readNumber(const Json &json)
 {
-    if (!json.is_number_unsigned() || !std::in_range<Number>(json.get<std::uint64_t>())) {
-        malformed(json, "expected an unsigned number in range");
+    const bool natural = json.is_number_unsigned() || (json.is_number_integer() && json.get<std::int64_t>() >= 0);
+    if (!natural || !std::in_range<Number>(json.get<std::uint64_t>())) {
+        malformed(json, "expected a non-negative number in range");
     }
     return json.get<Number>();
 }
--- /dev/null
+++ b/test/correctness/crashsuspects_test.cpp
@@ -0,0 +1,190 @@
+/** Guards against a poisonous request that takes down upstream after upstream, and against blaming bystanders for it. */
+#include "base/random.h"
+#include "idempotency/crashsuspects.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace jackdawdoor;
+using namespace jackdawdoor::idempotency;
+
+namespace {
+
+constexpr std::uint64_t poisons = 4; // fingerprints 1 to 4 crash every upstream that runs them
+constexpr std::uint64_t fingerprints = 30;
+constexpr int upstreams = 12;
+constexpr int rounds = 120;
+constexpr std::size_t holderCount = 3;
+constexpr std::size_t slots = 6;
+
+struct SimulationResult {
+    std::size_t worstPoison = 0; ///< most upstreams that one poison crashed
+    int bystandersRefused = 0; ///< refusals of other requests at the end
+    int crashes = 0;
+    int counted = 0; ///< crashes that health counts in the end
+};
+
+UpstreamId upstreamOf(std::uint64_t number)
+{
+    return UpstreamId{"customer/service/u" + std::to_string(number)};
+}
+
+/** Naive rule for comparison: refuse what was present at two crashes, without trials or clearing. */
+class PresenceCount
+{
+public:
+    SuspectVerdict verdict(TimePoint, std::uint64_t fingerprint) const
+    {
+        const auto found = m_crashes.find(fingerprint);
+        return found != m_crashes.end() && found->second.size() >= 2 ? SuspectVerdict::Refused : SuspectVerdict::Free;
+    }
+    void onCrash(const UpstreamId &upstream, const std::vector<InFlightRequest> &inFlight)
+    {
+        for (const InFlightRequest &request : inFlight) {
+            m_crashes[request.fingerprint].insert(upstream);
+        }
+    }
+
+private:
+    std::map<std::uint64_t, std::set<UpstreamId>> m_crashes;
+};
+
+/** Holders dispatch batches of requests to upstreams; reports reach the other holders before the next batch. */
+SimulationResult simulate(std::uint64_t seed, bool naive, bool faultyUpstream = false)
+{
+    RandomSource random(seed);
+    std::vector<CrashSuspects> holders(holderCount, CrashSuspects(SuspectLimits{}));
+    PresenceCount presence;
+    std::map<std::uint64_t, std::set<UpstreamId>> crashedBy;
+    std::multiset<UpstreamId> counted;
+    SimulationResult result;
+    const auto verdictOf = [&](TimePoint now, std::size_t holder, std::uint64_t fingerprint) {
+        return naive ? presence.verdict(now, fingerprint) : holders[holder].verdict(now, fingerprint);
+    };
+    TimePoint now;
+    for (int round = 0; round < rounds; ++round) {
+        now += std::chrono::milliseconds{100};
+        const std::size_t holder = random() % holderCount;
+        const UpstreamId upstream = upstreamOf(random() % upstreams);
+        std::vector<InFlightRequest> batch;
+        for (std::size_t slot = 0; slot < slots; ++slot) {
+            const InFlightRequest request{1 + random() % fingerprints, 1};
+            const SuspectVerdict verdict = verdictOf(now, holder, request.fingerprint);
+            if (verdict == SuspectVerdict::Exclusive && holders[holder].beginTrial(now, request.fingerprint, upstream)) {
+                batch = {request};
+                break;
+            }
+            if (verdict == SuspectVerdict::Free) {
+                batch.push_back(request);
+            }
+        }
+        std::vector<SuspectReport> reports;
+        bool crashed = faultyUpstream && upstream == upstreamOf(0) && !batch.empty();
+        for (const InFlightRequest &request : batch) {
+            if (!faultyUpstream && request.fingerprint <= poisons) {
+                crashed = true;
+                crashedBy[request.fingerprint].insert(upstream);
+            }
+        }
+        if (crashed) {
+            ++result.crashes;
+            presence.onCrash(upstream, batch);
+            const CrashAttribution attribution = holders[holder].onCrash(now, upstream, batch);
+            reports = attribution.reports;
+            if (attribution.countsAgainstUpstream) {
+                counted.insert(upstream);
+            }
+            for (const UpstreamId &retracted : attribution.retracted) {
+                const auto found = counted.find(retracted);
+                if (found != counted.end()) {
+                    counted.erase(found);
+                }
+            }
+        } else {
+            for (const InFlightRequest &request : batch) {
+                if (const auto report = holders[holder].onComplete(now, request.fingerprint)) {
+                    reports.push_back(*report);
+                }
+            }
+        }
+        for (std::size_t other = 0; other < holderCount; ++other) {
+            for (const SuspectReport &report : reports) {
+                if (other != holder) {
+                    holders[other].onReport(now, report);
+                    holders[other].onReport(now, report); // duplicates are harmless
+                }
+            }
+        }
+    }
+    for (const auto &[poison, crashed] : crashedBy) {
+        result.worstPoison = std::max(result.worstPoison, crashed.size());
+    }
+    for (std::uint64_t fingerprint = poisons + 1; fingerprint <= fingerprints; ++fingerprint) {
+        for (std::size_t holder = 0; holder < holderCount; ++holder) {
+            result.bystandersRefused += verdictOf(now, holder, fingerprint) == SuspectVerdict::Refused ? 1 : 0;
+        }
+    }
+    result.counted = static_cast<int>(counted.size());
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a poisonous request crashes two upstreams at most and no bystander is refused")
+{
+    int naiveBystanders = 0;
+    int crashes = 0;
+    int counted = 0;
+    CHECK_MESSAGE(rc::check("suspects",
+                            [&] {
+                                const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+                                const SimulationResult result = simulate(seed, false);
+                                RC_ASSERT(result.worstPoison <= 2);
+                                RC_ASSERT(result.bystandersRefused == 0);
+                                naiveBystanders += simulate(seed, true).bystandersRefused;
+                                crashes += result.crashes;
+                                counted += result.counted;
+                            }),
+                  "a poisonous request was let through or a bystander was refused");
+    CHECK_MESSAGE(naiveBystanders > 0, "counting presence alone refuses no bystander either: the schedules are too mild");
+    CHECK_MESSAGE(counted < crashes / 2, "most crashes by poisonous requests still count against upstreams");
+    MESSAGE("crashes ", crashes, ", counted against upstreams ", counted, ", bystanders refused by the naive rule ", naiveBystanders);
+}
+
+TEST_CASE("resets of one faulty upstream count against it and convict nobody")
+{
+    int crashes = 0;
+    int counted = 0;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const SimulationResult result = simulate(seed, false, true);
+        CHECK_MESSAGE(result.bystandersRefused == 0, "a request was refused for the resets of one upstream, seed ", seed);
+        crashes += result.crashes;
+        counted += result.counted;
+    }
+    CHECK_MESSAGE(crashes > 100, "the faulty upstream hardly ran anything");
+    CHECK_MESSAGE(counted == crashes, "resets of a faulty upstream were put down to requests");
+}
+
+TEST_CASE("a flood of new suspects does not displace convictions or suspects of others")
+{
+    SuspectLimits limits;
+    limits.maximumEntries = 50;
+    CrashSuspects suspects(limits);
+    const TimePoint now;
+    suspects.onCrash(now, upstreamOf(0), {{1, 10}});
+    suspects.onCrash(now, upstreamOf(1), {{1, 10}});
+    suspects.onCrash(now, upstreamOf(2), {{2, 20}});
+    for (std::uint64_t flood = 100; flood < 5000; ++flood) {
+        suspects.onCrash(now, upstreamOf(flood % upstreams), {{flood, 30}});
+        REQUIRE_MESSAGE(suspects.size() <= limits.maximumEntries, "the table outgrew its bound");
+    }
+    CHECK_MESSAGE(suspects.verdict(now, 1) == SuspectVerdict::Refused, "the flood displaced a conviction");
+    CHECK_MESSAGE(suspects.verdict(now, 2) == SuspectVerdict::Exclusive, "one source displaced the suspect of another");
+    const TimePoint later = now + limits.convictionTime;
+    suspects.onTick(later);
+    CHECK_MESSAGE(suspects.size() == 0, "suspects outlived their time");
+    CHECK_MESSAGE(suspects.verdict(later, 1) == SuspectVerdict::Free, "a conviction outlived its time");
+}
