--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -74,7 +74,7 @@
         return;
     }
     const Member *home = table.view().find(*answer.home);
-    RC_ASSERT(home->address == answer.addresses.front());
+    RC_ASSERT(home->callerAddress == answer.addresses.front());
     RC_ASSERT(std::count(holders.begin(), holders.end(), home) == 1);
 
     std::size_t others = 0;
