Silence a false lint report in the id types

clang-tidy reports the comparison with 0 that the compiler generates for a defaulted <=> as soon as a source orders ids, which the maps of the fleet modules do.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -19,7 +19,7 @@
     std::string value;
 
     bool operator==(const Id &) const = default;
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr): false report on generated code
 
     bool empty() const
     {
@@ -55,7 +55,7 @@
     Incarnation incarnation = 0;
 
     bool operator==(const InstanceRef &) const = default;
-    auto operator<=>(const InstanceRef &) const = default;
+    auto operator<=>(const InstanceRef &) const = default; // NOLINT(modernize-use-nullptr): false report on generated code
 };
 
 inline std::ostream &operator<<(std::ostream &stream, const InstanceRef &instance)
