Contrast a suspect with its siblings before an ejection

Answers to requests sent before the first evidence counted as those of healthy siblings. Now the rates since then are compared by a likelihood ratio.

--- a/src/health/graydetector.cpp
+++ b/src/health/graydetector.cpp
@@ -12,6 +12,8 @@
 /** Lower bound of the healthy failure rate: a service that never failed must not eject on its first two errors. */
 constexpr double smallestFailureRate = 0.005;
 constexpr double largestFailureRate = 0.9;
+/** Siblings that answered nothing for this long do not count: they do not show whether the service fails as a whole. */
+constexpr Duration recentTime = std::chrono::seconds{10};
 /** Evidence from which on an upstream is looked at more closely: one failure, or one clearly slow answer. */
 constexpr double suspicion = 0.5;
 /** Without a further bad answer for this long, ordinary work goes to a suspect again: where no request may serve as a
@@ -26,8 +28,17 @@
 constexpr double severityOfFailure = 10; ///< failing always is worse than being slow
 constexpr double microsecondsPerSecond = 1e6;
 constexpr int mostHeldFailures = 10;
-/** Sibling upstreams that must have answered well, after the first evidence, before an upstream is ejected. */
-constexpr std::size_t minimumWellSiblings = 1;
+/** Evidence that an upstream differs from its siblings since the first bad answer, without which it is not ejected: a fault
+ * of the whole service begins with the same bad answers. A slow service also moves the baseline, so less is needed there. */
+constexpr double contrastOfFailing = 4.5;
+constexpr double contrastOfSlow = 3.5;
+/** Latest answers of a sibling that count for the contrast; checks of another suspect must not outweigh healthy siblings. */
+constexpr int answersPerSibling = 3;
+/** Latest answers of all siblings that must be good. A fault of the service that begins just after a chance error of one
+ * upstream would otherwise be contrasted with good answers from before it. */
+constexpr int decisiveAnswers = 2;
+/** Answers that are remembered for the contrast. */
+constexpr std::size_t mostRecentAnswers = 128;
 
 bool countsOnlyWithNewConnection(const Observation &observation)
 {
@@ -58,52 +69,67 @@
 {
     const auto baseline = m_baseline.siblingMedianLog(operation, upstream);
     const auto slowAfter = baseline ? fromSeconds(std::exp(*baseline) * m_policy.slowRatio / microsecondsPerSecond) : Duration::max();
-    m_upstreams[upstream].running.push_back({attempt, operation, now, slowAfter, freshConnection});
+    m_upstreams[upstream].running.push_back({attempt, operation, now, slowAfter, freshConnection, false, false});
+}
+
+void GrayDetector::headArrived(TimePoint now, std::size_t upstream, std::uint64_t attempt, bool forgiveSlowness)
+{
+    for (auto &running : m_upstreams[upstream].running) {
+        if (running.attempt == attempt && !running.headSeen) {
+            running.headSeen = true;
+            running.slow = !forgiveSlowness && learnLatency(now, upstream, running.operation, now - running.started);
+        }
+    }
 }
 
 std::optional<bool> GrayDetector::observe(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness)
 {
     auto &state = m_upstreams[upstream];
-    std::erase_if(state.running, [&observation](const Running &running) {
-        return running.attempt == observation.attempt;
+    Running attempt{observation.attempt, observation.operation, now - observation.firstByte, {}, false, false, false};
+    std::erase_if(state.running, [&attempt](const Running &running) {
+        const bool same = running.attempt == attempt.attempt;
+        attempt = same ? running : attempt;
+        return same;
     });
     state.shedShare += shareWeight * ((observation.outcome == OutcomeKind::Shed ? 1.0 : 0.0) - state.shedShare);
     if (observation.outcome == OutcomeKind::Shed) {
         return std::nullopt;
     }
     if (isFailure(observation.outcome)) {
-        return observeFailure(now, upstream, observation);
+        return observeFailure(now, upstream, observation, attempt.started);
     }
-    const double ratio =
-        slownessRatio(observation.operation, upstream, observation.firstByte, observation.outcome == OutcomeKind::Abandoned);
-    const bool slow = ratio > 0 && !forgiveSlowness;
     if (observation.outcome == OutcomeKind::Abandoned) {
-        // That we gave up early says nothing in favour of the upstream; that it was slow by then counts against it.
-        if (!slow) {
-            return std::nullopt;
-        }
-        addSlowness(now, upstream, ratio);
-        countAnswer(now, upstream, true);
-        return true;
+        return observeAbandoned(now, upstream, observation, forgiveSlowness || attempt.headSeen);
     }
     if (observation.newConnection) {
         state.heldFailures = 0;
     }
     if (state.errors > 0) {
-        const double healthy = healthyFailureRate(upstream);
+        const double healthy = healthyFailureRate(now, upstream);
         state.errors = std::max(0.0, state.errors + std::log((1 - grayRate(healthy)) / (1 - healthy)));
     }
     state.failureShare -= shareWeight * state.failureShare;
-    if (!forgiveSlowness) {
-        addSlowness(now, upstream, ratio);
-        updateExcess(upstream, observation);
-        m_baseline.add(observation.operation, upstream, observation.firstByte);
+    if (!attempt.headSeen && !forgiveSlowness) {
+        attempt.slow = learnLatency(now, upstream, observation.operation, observation.firstByte);
     }
-    countAnswer(now, upstream, slow);
-    return slow;
+    countAnswer({upstream, attempt.started, now, false, observation.operation, observation.firstByte}, attempt.slow);
+    return attempt.slow;
 }
 
-std::optional<bool> GrayDetector::observeFailure(TimePoint now, std::size_t upstream, const Observation &observation)
+std::optional<bool>
+GrayDetector::observeAbandoned(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness)
+{
+    // That we gave up early says nothing in favour of the upstream; that it was slow by then counts against it.
+    const double ratio = slownessRatio(observation.operation, upstream, observation.firstByte, true);
+    if (forgiveSlowness || ratio <= 0) {
+        return std::nullopt;
+    }
+    addSlowness(now, upstream, ratio);
+    countAnswer({upstream, now - observation.firstByte, now, false, observation.operation, observation.firstByte}, true);
+    return true;
+}
+
+std::optional<bool> GrayDetector::observeFailure(TimePoint now, std::size_t upstream, const Observation &observation, TimePoint started)
 {
     auto &state = m_upstreams[upstream];
     if (countsOnlyWithNewConnection(observation)) {
@@ -117,16 +143,25 @@
     }
     for (int count = 0; count < failures; ++count) {
         addFailure(now, upstream);
-        countAnswer(now, upstream, true);
+        countAnswer({upstream, started, now, true, observation.operation, observation.firstByte}, true);
     }
     return true;
 }
 
+bool GrayDetector::learnLatency(TimePoint now, std::size_t upstream, const OperationId &operation, Duration latency)
+{
+    const double ratio = slownessRatio(operation, upstream, latency, false);
+    addSlowness(now, upstream, ratio);
+    updateExcess(upstream, operation, latency);
+    m_baseline.add(now, operation, upstream, latency);
+    return ratio > 0;
+}
+
 void GrayDetector::addFailure(TimePoint now, std::size_t upstream)
 {
     auto &state = m_upstreams[upstream];
     noteSuspicion(now, state);
-    const double healthy = healthyFailureRate(upstream);
+    const double healthy = healthyFailureRate(now, upstream);
     const double step = std::log(grayRate(healthy) / healthy);
     state.errors = std::min(state.errors + step, m_policy.ejectionThreshold * scoreBound);
     state.failureShare += shareWeight * (1 - state.failureShare);
@@ -141,14 +176,14 @@
     state.slowness = std::clamp(state.slowness + ratio, 0.0, m_policy.ejectionThreshold * scoreBound);
 }
 
-void GrayDetector::updateExcess(std::size_t upstream, const Observation &observation)
+void GrayDetector::updateExcess(std::size_t upstream, const OperationId &operation, Duration latency)
 {
-    const auto baseline = m_baseline.siblingMedianLog(observation.operation, upstream);
+    const auto baseline = m_baseline.siblingMedianLog(operation, upstream);
     if (!baseline) {
         return;
     }
     auto &state = m_upstreams[upstream];
-    const double excess = std::log(static_cast<double>(std::max<Duration::rep>(observation.firstByte.count(), 1))) - *baseline;
+    const double excess = std::log(static_cast<double>(std::max<Duration::rep>(latency.count(), 1))) - *baseline;
     state.lastExcess = excess;
     state.recentExcess += excessWeight * (excess - state.recentExcess);
 }
@@ -160,20 +195,23 @@
     }
 }
 
-void GrayDetector::countAnswer(TimePoint now, std::size_t upstream, bool bad)
+void GrayDetector::countAnswer(Answer answer, bool bad)
 {
-    auto &state = m_upstreams[upstream];
+    auto &state = m_upstreams[answer.upstream];
     state.answered = true;
-    state.lastAnswer = now;
-    state.lastAnswerBad = bad;
+    state.lastAnswer = answer.at;
     if (bad) {
         ++state.badAnswers;
-        state.lastBad = now;
+        state.lastBad = answer.at;
         state.everBad = true;
     }
     if (state.errors <= 0 && state.slowness <= 0) {
         state.badAnswers = 0;
     }
+    m_recent.push_back(std::move(answer));
+    if (m_recent.size() > mostRecentAnswers) {
+        m_recent.pop_front();
+    }
 }
 
 GrayScore GrayDetector::score(TimePoint now, std::size_t upstream) const
@@ -206,10 +244,12 @@
     const auto running = inProgressEvidence(now, upstream);
     // Open connections can go silent while the upstream is well, so requests that hang on them count once at most.
     const double slowness = state.slowness + running.fresh + std::min(running.total - running.fresh, SlownessTest::largestStep);
-    if (std::max(state.errors, slowness) < m_policy.ejectionThreshold) {
+    const bool failing = state.errors >= m_policy.ejectionThreshold;
+    const bool slow = slowness >= m_policy.ejectionThreshold;
+    if (!(failing || slow) || state.badAnswers + running.slow < m_policy.minimumBadAnswers) {
         return false;
     }
-    return state.badAnswers + running.slow >= m_policy.minimumBadAnswers && siblingsAreWell(now, upstream);
+    return contrast(now, upstream) >= (failing ? contrastOfFailing : contrastOfSlow);
 }
 
 bool GrayDetector::needsNewConnection(TimePoint now, std::size_t upstream) const
@@ -238,12 +278,12 @@
     return std::max(grayFailureRate, (1 + healthyRate) / 2);
 }
 
-double GrayDetector::healthyFailureRate(std::size_t upstream) const
+double GrayDetector::healthyFailureRate(TimePoint now, std::size_t upstream) const
 {
     std::vector<double> shares;
     shares.reserve(m_upstreams.size());
     for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
-        if (index != upstream && m_upstreams[index].answered) {
+        if (index != upstream && m_upstreams[index].answered && now - m_upstreams[index].lastAnswer <= recentTime) {
             shares.push_back(m_upstreams[index].failureShare);
         }
     }
@@ -262,7 +302,8 @@
         return true;
     }
     const bool overdue = std::any_of(state.running.begin(), state.running.end(), [now](const Running &running) {
-        return running.slowAfter != Duration::max() && now - running.started >= running.slowAfter * SlownessTest::checkPart;
+        return !running.headSeen && running.slowAfter != Duration::max()
+               && now - running.started >= running.slowAfter * SlownessTest::checkPart;
     });
     return overdue || isSuspect(now, upstream);
 }
@@ -283,7 +324,7 @@
     InProgressEvidence evidence;
     const auto &state = m_upstreams[upstream];
     for (const auto &running : state.running) {
-        if (now - running.started < running.slowAfter) {
+        if (running.headSeen || now - running.started < running.slowAfter) {
             continue;
         }
         const double ratio = slownessRatio(running.operation, upstream, now - running.started, true);
@@ -298,22 +339,46 @@
     return evidence;
 }
 
-bool GrayDetector::siblingsAreWell(TimePoint now, std::size_t upstream) const
+bool GrayDetector::isBad(const Answer &answer) const
+{
+    // Judged by the present baseline: when the whole service has become slow, earlier answers no longer stand out.
+    return answer.failed || slownessRatio(answer.operation, answer.upstream, answer.latency, false) > 0;
+}
+
+double GrayDetector::contrast(TimePoint now, std::size_t upstream) const
 {
     const auto &state = m_upstreams[upstream];
+    const auto inProgress = inProgressEvidence(now, upstream);
     const bool scored = state.errors > 0 || state.slowness > 0;
-    const auto since = scored ? state.suspectSince : inProgressEvidence(now, upstream).earliest;
-    std::size_t well = 0;
-    std::size_t bad = 0;
+    const auto since = scored ? state.suspectSince : inProgress.earliest;
+    AnswerCounts own;
+    AnswerCounts others;
+    int siblingAnswers = 0;
+    own.bad = inProgress.slow;
+    std::vector<int> counted(m_upstreams.size(), 0);
     for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
-        const auto &sibling = m_upstreams[index];
-        if (index == upstream || !sibling.answered || sibling.lastAnswer < since) {
+        if (index != upstream) {
+            const int slow = std::min(inProgressEvidence(now, index).slow, answersPerSibling);
+            others.bad += slow;
+            counted[index] = slow;
+        }
+    }
+    // The latest answers first. Only requests sent after the first evidence show how the siblings are since then.
+    for (auto answer = m_recent.rbegin(); answer != m_recent.rend(); ++answer) {
+        if (answer->upstream == upstream) {
+            own.add(isBad(*answer), answer->at >= since);
             continue;
         }
-        (sibling.lastAnswerBad ? bad : well) += 1;
+        const bool bad = isBad(*answer);
+        if (++siblingAnswers <= decisiveAnswers && bad) {
+            return 0;
+        }
+        if (answer->started >= since && counted[answer->upstream] < answersPerSibling) {
+            ++counted[answer->upstream];
+            others.add(bad, true);
+        }
     }
-    // Three in five: a data centre of three may fail, but a fault that most siblings share is the service's.
-    return well >= minimumWellSiblings && 2 * well > 3 * bad;
+    return likelihoodOfDifference(own, others);
 }
 
 } // namespace jackdawdoor::health
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "contract/policy.h"
+#include "health/answercounts.h"
 #include "health/latencybaseline.h"
 #include "health/observation.h"
 #include "health/slownesstest.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -27,8 +29,8 @@
 
 /** CUSUM tests of every upstream of one service, for errors and for slowness.
  *
- * The healthy rates are the medians over the other upstreams. An upstream is gray only while most of the others that
- * answered since its score left zero are well, so a fault of the whole service ejects nothing.
+ * The healthy rates are the medians over the other upstreams. An upstream is gray only if it differs from what the others
+ * answered since its score left zero, so a fault of the whole service ejects nothing.
  */
 class GrayDetector
 {
@@ -38,6 +40,9 @@
     /** A request was sent. freshConnection: it is certain that a new connection is used for it. */
     void attemptStarted(TimePoint now, std::size_t upstream, std::uint64_t attempt, const OperationId &operation, bool freshConnection);
 
+    /** The head of the answer arrived: its latency counts now, and the body that follows is no longer waited for. */
+    void headArrived(TimePoint now, std::size_t upstream, std::uint64_t attempt, bool forgiveSlowness);
+
     /** A request ended. forgiveSlowness: the upstream is in its cold start.
      *
      * Returns whether the answer was bad (failed or slow), or nothing when it says nothing about the upstream.
@@ -93,6 +98,8 @@
         TimePoint started;
         Duration slowAfter{}; ///< slow threshold when it was sent; spares computing it anew at each look
         bool freshConnection = false;
+        bool headSeen = false; ///< the answer has begun, so that its body is no longer waited for
+        bool slow = false; ///< with headSeen: the head was slow
     };
     struct Upstream {
         double errors = 0;
@@ -100,7 +107,6 @@
         int badAnswers = 0;
         TimePoint suspectSince; ///< when the scores left zero
         TimePoint lastAnswer;
-        bool lastAnswerBad = false;
         bool answered = false;
         TimePoint lastBad;
         bool everBad = false;
@@ -111,6 +117,14 @@
         double recentExcess = 0; ///< moving mean of log(latency / baseline)
         std::vector<Running> running;
     };
+    struct Answer {
+        std::size_t upstream = 0;
+        TimePoint started;
+        TimePoint at;
+        bool failed = false;
+        OperationId operation;
+        Duration latency{};
+    };
     struct InProgressEvidence {
         double fresh = 0; ///< evidence from requests on new connections
         double total = 0;
@@ -120,20 +134,24 @@
 
     static double grayRate(double healthyRate);
     static void noteSuspicion(TimePoint now, Upstream &state);
-    double healthyFailureRate(std::size_t upstream) const;
+    double healthyFailureRate(TimePoint now, std::size_t upstream) const;
     double slownessRatio(const OperationId &operation, std::size_t upstream, Duration latency, bool stillRunning) const;
     InProgressEvidence inProgressEvidence(TimePoint now, std::size_t upstream) const;
-    bool siblingsAreWell(TimePoint now, std::size_t upstream) const;
-    std::optional<bool> observeFailure(TimePoint now, std::size_t upstream, const Observation &observation);
+    double contrast(TimePoint now, std::size_t upstream) const;
+    std::optional<bool> observeFailure(TimePoint now, std::size_t upstream, const Observation &observation, TimePoint started);
     void addFailure(TimePoint now, std::size_t upstream);
     void addSlowness(TimePoint now, std::size_t upstream, double ratio);
-    void updateExcess(std::size_t upstream, const Observation &observation);
-    void countAnswer(TimePoint now, std::size_t upstream, bool bad);
+    bool learnLatency(TimePoint now, std::size_t upstream, const OperationId &operation, Duration latency);
+    void updateExcess(std::size_t upstream, const OperationId &operation, Duration latency);
+    std::optional<bool> observeAbandoned(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness);
+    void countAnswer(Answer answer, bool bad);
+    bool isBad(const Answer &answer) const;
 
     contract::HealthPolicy m_policy;
     SlownessTest m_slowness;
     LatencyBaseline m_baseline;
     std::vector<Upstream> m_upstreams;
+    std::deque<Answer> m_recent; ///< latest answers of all upstreams, in the order of their arrival
 };
 
 } // namespace jackdawdoor::health
--- a/src/health/latencybaseline.cpp
+++ b/src/health/latencybaseline.cpp
@@ -21,6 +21,8 @@
 /** Standard deviation of a normal variable in units of its mean absolute deviation. */
 constexpr double deviationFactor = 1.2533;
 
+/** Upstreams that answered nothing for this long do not count: they do not show whether the service has become slow. */
+constexpr Duration recentTime = std::chrono::seconds{10};
 /** Answers between two computations of the medians; computing them for each answer would cost several times as much. */
 constexpr int refreshInterval = 8;
 
@@ -42,7 +44,7 @@
 {
 }
 
-void LatencyBaseline::add(const OperationId &operation, std::size_t upstream, Duration latency)
+void LatencyBaseline::add(TimePoint now, const OperationId &operation, std::size_t upstream, Duration latency)
 {
     auto &row = m_rows[operation];
     if (row.cells.empty()) {
@@ -54,6 +56,7 @@
     if (cell.count == 0) {
         cell.meanLog = logarithm;
     }
+    cell.lastAdded = now;
     cell.count = std::min(cell.count + 1, minimumAnswersForSpread);
     const double weight = std::max(1.0 / cell.count, smallestWeight);
     const double difference = std::clamp(logarithm - cell.meanLog, -largestStep, largestStep);
@@ -61,18 +64,18 @@
     cell.meanDeviation += weight * (std::abs(difference) - cell.meanDeviation);
     ++row.addedSince;
     if (row.addedSince >= refreshInterval || cell.count <= minimumAnswers) {
-        refresh(row);
+        refresh(now, row);
     }
 }
 
-void LatencyBaseline::refresh(Row &row) const
+void LatencyBaseline::refresh(TimePoint now, Row &row) const
 {
     row.addedSince = 0;
     std::vector<std::size_t> order;
     std::vector<double> deviations;
     for (std::size_t index = 0; index < m_upstreams; ++index) {
         row.cells[index].rank = m_upstreams;
-        if (row.cells[index].count >= minimumAnswers) {
+        if (row.cells[index].count >= minimumAnswers && now - row.cells[index].lastAdded <= recentTime) {
             order.push_back(index);
         }
         if (row.cells[index].count >= minimumAnswersForSpread) {
--- a/src/health/latencybaseline.h
+++ b/src/health/latencybaseline.h
@@ -23,7 +23,7 @@
     explicit LatencyBaseline(std::size_t upstreams);
 
     /** Adds the latency of a successful answer. */
-    void add(const OperationId &operation, std::size_t upstream, Duration latency);
+    void add(TimePoint now, const OperationId &operation, std::size_t upstream, Duration latency);
 
     /** Median over all upstreams, or nothing before the first answer. */
     std::optional<Duration> median(const OperationId &operation) const;
@@ -42,16 +42,17 @@
         int count = 0;
         double meanLog = 0;
         double meanDeviation = 0; ///< moving mean of the absolute deviation from meanLog
+        TimePoint lastAdded;
         std::size_t rank = 0; ///< position in Row::sorted, or the number of upstreams
     };
     struct Row {
         std::vector<Cell> cells; ///< by upstream
-        std::vector<double> sorted; ///< means of the upstreams with enough answers, refreshed every few answers
+        std::vector<double> sorted; ///< means of the upstreams with enough and recent answers, refreshed every few answers
         double spread = 0;
         int addedSince = 0;
     };
 
-    void refresh(Row &row) const;
+    void refresh(TimePoint now, Row &row) const;
 
     absl::flat_hash_map<OperationId, Row> m_rows;
     std::size_t m_upstreams;
--- a/src/health/localhealth.cpp
+++ b/src/health/localhealth.cpp
@@ -60,6 +60,13 @@
     }
 }
 
+void LocalHealth::headArrived(TimePoint now, const UpstreamId &upstream, std::uint64_t attempt)
+{
+    if (const auto index = indexOf(upstream)) {
+        m_detector.headArrived(now, *index, attempt, isCold(now, m_entries[*index]));
+    }
+}
+
 std::vector<HealthChange> LocalHealth::record(TimePoint now, const Observation &observation)
 {
     std::vector<HealthChange> changes;
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -42,6 +42,11 @@
                         AttemptKind kind,
                         bool freshConnection);
 
+    /** The head of a right answer arrived. Optional; without it the latency counts when the whole answer is recorded, and an
+     * answer with a long body counts as slow until then.
+     */
+    void headArrived(TimePoint now, const UpstreamId &upstream, std::uint64_t attempt);
+
     /** An attempt's outcome is known; unknown upstreams are ignored. Changes follow at the next onTick or at once. */
     std::vector<HealthChange> record(TimePoint now, const Observation &observation);
 
--- a/src/health/localhealthview.cpp
+++ b/src/health/localhealthview.cpp
@@ -9,8 +9,10 @@
 
 /** Checks of one suspect that may run at once. */
 constexpr int mostChecks = 4;
-/** Checks alternate with requests to other upstreams, since an ejection needs answers of healthy siblings as well. */
-constexpr int checksInARow = 3;
+/** Checks alternate with requests to other upstreams, since an ejection needs answers of healthy siblings as well. Failures
+ * are plain, and one to one contrasts them soonest; slowness needs more answers of the suspect. */
+constexpr int failureChecksInARow = 1;
+constexpr int slownessChecksInARow = 3;
 /** Good answers within one report that settle a second opinion. */
 constexpr std::uint32_t enoughForOpinion = 5;
 /** An upstream that only the floor keeps gets a check this often, and after a longer time without any ordinary work. */
@@ -52,6 +54,7 @@
         return state;
     }
     const bool opinionWanted = now < entry.opinionUntil && entry.good < enoughForOpinion;
+    const int checksInARow = score.errors > score.slowness ? failureChecksInARow : slownessChecksInARow;
     const bool kept = entry.kept && state.unused < keptReview;
     if (entry.kept) {
         state.checkDue = state.unused >= keptCheckInterval && state.inProgress == 0;
--- a/src/health/workingset.cpp
+++ b/src/health/workingset.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-/** Requests per second that each chosen upstream gets: the first failing request comes within 0.25 s on average. */
-constexpr double wantedRate = 4;
+/** Requests per second that each chosen upstream gets: the first failing request comes within 0.2 s. */
+constexpr double wantedRate = 5;
 /** Fewer upstreams would make the median over them depend on a single gray one. */
-constexpr std::size_t smallestSet = 5;
+constexpr std::size_t smallestSet = 4;
 constexpr double averagingSeconds = 5;
 /** The set keeps its size while the wanted one is within this part of it: an upstream that left for a moment would be
  * out of sight meanwhile, and random arrivals change the rate by some tenths. */
--- a/src/routing/chooseupstream.cpp
+++ b/src/routing/chooseupstream.cpp
@@ -9,7 +9,7 @@
 using health::Standing;
 
 /** An upstream without a request for this long is used next: a fault that no request meets cannot be detected. */
-constexpr Duration longestUnused = std::chrono::milliseconds{150};
+constexpr Duration longestUnused = std::chrono::milliseconds{100};
 
 /** Builds the decision step by step; each step may settle it. */
 class Choice
