Judge siblings by one baseline and let ordinary work alternate with all checks

Two suspects took turns in the checks and left nothing for the other siblings, so a service that became 10x slower kept its old baseline.

--- /dev/null
+++ b/src/health/graycontrast.cpp
@@ -0,0 +1,116 @@
+/** The part of GrayDetector that decides whether an upstream differs from its siblings. */
+#include "health/graydetector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawdoor::health {
+
+namespace {
+
+/** Evidence that an upstream differs from its siblings since the first bad answer, without which it is not ejected: a fault
+ * of the whole service begins with the same bad answers. A slow service also moves the baseline, so less is needed there. */
+constexpr double contrastOfFailing = 4.5;
+constexpr double contrastOfSlow = 3.5;
+/** Latest answers of a sibling that count for the contrast; checks of another suspect must not outweigh healthy siblings. */
+constexpr int answersPerSibling = 3;
+/** Latest answers of all siblings that must be good. A fault of the service that begins just after a chance error of one
+ * upstream would otherwise be contrasted with good answers from before it. */
+constexpr std::size_t decisiveAnswers = 2;
+/** Up to this rate of answers the contrasts above hold; each e-fold more answers give e times as many chances to err. */
+constexpr double contrastRate = 20;
+
+} // namespace
+
+bool GrayDetector::isGray(TimePoint now, std::size_t upstream) const
+{
+    const auto &state = m_upstreams[upstream];
+    const auto running = inProgressEvidence(now, upstream);
+    if (state.badAnswers + running.slow < m_policy.minimumBadAnswers) {
+        return false;
+    }
+    const double margin = std::log(std::max(1.0, m_answersPerSecond / contrastRate));
+    if (state.errors >= m_policy.ejectionThreshold) {
+        return contrast(now, upstream) >= contrastOfFailing + margin;
+    }
+    // Open connections can go silent while the upstream is well, so requests that hang on them count once at most.
+    const double hanging = running.fresh + std::min(running.total - running.fresh, SlownessTest::largestStep);
+    if (state.slowness + hanging < m_policy.ejectionThreshold || presentSlowness(upstream) + hanging < m_policy.ejectionThreshold) {
+        return false;
+    }
+    return contrast(now, upstream) >= contrastOfSlow + margin;
+}
+
+double GrayDetector::presentSlowness(std::size_t upstream) const
+{
+    // The score was gathered against earlier baselines. When the whole service becomes slow, the baseline follows within
+    // some answers, and against the present one the upstream no longer stands out.
+    const auto &state = m_upstreams[upstream];
+    double sum = 0;
+    for (const auto &answer : state.recent) {
+        if (!answer.failed && answer.at >= state.suspectSince) {
+            sum = std::max(0.0, sum + slownessRatio(answer.operation, upstream, answer.latency, false));
+        }
+    }
+    return sum;
+}
+
+bool GrayDetector::isBad(const Answer &answer, std::size_t subject) const
+{
+    // All answers are judged by the baseline of the one upstream in question, or a baseline that is on its way from one
+    // latency to another would make the same latency slow for one upstream and normal for the next.
+    return answer.failed || slownessRatio(answer.operation, subject, answer.latency, false) > 0;
+}
+
+bool GrayDetector::latestSiblingAnswersAreGood(std::size_t upstream) const
+{
+    std::vector<const Answer *> latest;
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+        const auto &recent = m_upstreams[index].recent;
+        const auto count = index == upstream ? 0 : std::min(recent.size(), decisiveAnswers);
+        std::for_each(recent.rbegin(), recent.rbegin() + static_cast<std::ptrdiff_t>(count), [&latest](const Answer &answer) {
+            latest.push_back(&answer);
+        });
+    }
+    const auto count = std::min(latest.size(), decisiveAnswers);
+    const auto end = latest.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(latest.begin(), end, latest.end(), [](const Answer *left, const Answer *right) {
+        return left->at > right->at;
+    });
+    return std::none_of(latest.begin(), end, [this, upstream](const Answer *answer) {
+        return isBad(*answer, upstream);
+    });
+}
+
+double GrayDetector::contrast(TimePoint now, std::size_t upstream) const
+{
+    if (!latestSiblingAnswersAreGood(upstream)) {
+        return 0;
+    }
+    const auto &state = m_upstreams[upstream];
+    const auto running = inProgressEvidence(now, upstream);
+    const bool scored = state.errors > 0 || state.slowness > 0;
+    const auto since = scored ? state.suspectSince : running.earliest;
+    AnswerCounts own{0, running.slow};
+    for (const auto &answer : state.recent) {
+        own.add(isBad(answer, upstream), answer.at >= since);
+    }
+    AnswerCounts others;
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+        if (index == upstream) {
+            continue;
+        }
+        int counted = std::min(inProgressEvidence(now, index).slow, answersPerSibling);
+        others.bad += counted;
+        const auto &recent = m_upstreams[index].recent;
+        // Only requests sent after the first evidence show how the sibling is since then.
+        for (auto answer = recent.rbegin(); answer != recent.rend() && counted < answersPerSibling; ++answer) {
+            const bool counts = answer->started >= since;
+            others.add(isBad(*answer, upstream), counts);
+            counted += counts ? 1 : 0;
+        }
+    }
+    return likelihoodOfDifference(own, others);
+}
+
+} // namespace jackdawdoor::health
--- a/src/health/graydetector.cpp
+++ b/src/health/graydetector.cpp
@@ -27,18 +27,10 @@
 constexpr double excessWeight = 0.3; ///< of the newest answer in the moving slowness
 constexpr double severityOfFailure = 10; ///< failing always is worse than being slow
 constexpr double microsecondsPerSecond = 1e6;
+constexpr double averagingSeconds = 2; ///< of the rate of answers
 constexpr int mostHeldFailures = 10;
-/** Evidence that an upstream differs from its siblings since the first bad answer, without which it is not ejected: a fault
- * of the whole service begins with the same bad answers. A slow service also moves the baseline, so less is needed there. */
-constexpr double contrastOfFailing = 4.5;
-constexpr double contrastOfSlow = 3.5;
-/** Latest answers of a sibling that count for the contrast; checks of another suspect must not outweigh healthy siblings. */
-constexpr int answersPerSibling = 3;
-/** Latest answers of all siblings that must be good. A fault of the service that begins just after a chance error of one
- * upstream would otherwise be contrasted with good answers from before it. */
-constexpr int decisiveAnswers = 2;
-/** Answers that are remembered for the contrast. */
-constexpr std::size_t mostRecentAnswers = 128;
+/** Answers of each upstream that are remembered for the comparison with its siblings. */
+constexpr std::size_t mostRecentAnswers = 32;
 
 bool countsOnlyWithNewConnection(const Observation &observation)
 {
@@ -208,9 +200,12 @@
     if (state.errors <= 0 && state.slowness <= 0) {
         state.badAnswers = 0;
     }
-    m_recent.push_back(std::move(answer));
-    if (m_recent.size() > mostRecentAnswers) {
-        m_recent.pop_front();
+    m_answersPerSecond *= std::exp(-toSeconds(answer.at - m_lastAnswer) / averagingSeconds);
+    m_answersPerSecond += 1 / averagingSeconds;
+    m_lastAnswer = answer.at;
+    state.recent.push_back(std::move(answer));
+    if (state.recent.size() > mostRecentAnswers) {
+        state.recent.pop_front();
     }
 }
 
@@ -238,20 +233,6 @@
     return (recent || inProgressEvidence(now, upstream).slow > 0) && hasEvidence(now, upstream);
 }
 
-bool GrayDetector::isGray(TimePoint now, std::size_t upstream) const
-{
-    const auto &state = m_upstreams[upstream];
-    const auto running = inProgressEvidence(now, upstream);
-    // Open connections can go silent while the upstream is well, so requests that hang on them count once at most.
-    const double slowness = state.slowness + running.fresh + std::min(running.total - running.fresh, SlownessTest::largestStep);
-    const bool failing = state.errors >= m_policy.ejectionThreshold;
-    const bool slow = slowness >= m_policy.ejectionThreshold;
-    if (!(failing || slow) || state.badAnswers + running.slow < m_policy.minimumBadAnswers) {
-        return false;
-    }
-    return contrast(now, upstream) >= (failing ? contrastOfFailing : contrastOfSlow);
-}
-
 bool GrayDetector::needsNewConnection(TimePoint now, std::size_t upstream) const
 {
     if (m_upstreams[upstream].heldFailures > 0) {
@@ -339,46 +320,4 @@
     return evidence;
 }
 
-bool GrayDetector::isBad(const Answer &answer) const
-{
-    // Judged by the present baseline: when the whole service has become slow, earlier answers no longer stand out.
-    return answer.failed || slownessRatio(answer.operation, answer.upstream, answer.latency, false) > 0;
-}
-
-double GrayDetector::contrast(TimePoint now, std::size_t upstream) const
-{
-    const auto &state = m_upstreams[upstream];
-    const auto inProgress = inProgressEvidence(now, upstream);
-    const bool scored = state.errors > 0 || state.slowness > 0;
-    const auto since = scored ? state.suspectSince : inProgress.earliest;
-    AnswerCounts own;
-    AnswerCounts others;
-    int siblingAnswers = 0;
-    own.bad = inProgress.slow;
-    std::vector<int> counted(m_upstreams.size(), 0);
-    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
-        if (index != upstream) {
-            const int slow = std::min(inProgressEvidence(now, index).slow, answersPerSibling);
-            others.bad += slow;
-            counted[index] = slow;
-        }
-    }
-    // The latest answers first. Only requests sent after the first evidence show how the siblings are since then.
-    for (auto answer = m_recent.rbegin(); answer != m_recent.rend(); ++answer) {
-        if (answer->upstream == upstream) {
-            own.add(isBad(*answer), answer->at >= since);
-            continue;
-        }
-        const bool bad = isBad(*answer);
-        if (++siblingAnswers <= decisiveAnswers && bad) {
-            return 0;
-        }
-        if (answer->started >= since && counted[answer->upstream] < answersPerSibling) {
-            ++counted[answer->upstream];
-            others.add(bad, true);
-        }
-    }
-    return likelihoodOfDifference(own, others);
-}
-
 } // namespace jackdawdoor::health
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -101,6 +101,14 @@
         bool headSeen = false; ///< the answer has begun, so that its body is no longer waited for
         bool slow = false; ///< with headSeen: the head was slow
     };
+    struct Answer {
+        std::size_t upstream = 0;
+        TimePoint started;
+        TimePoint at;
+        bool failed = false;
+        OperationId operation;
+        Duration latency{};
+    };
     struct Upstream {
         double errors = 0;
         double slowness = 0;
@@ -116,14 +124,7 @@
         double lastExcess = 0; ///< log(latency / baseline) of the last success
         double recentExcess = 0; ///< moving mean of log(latency / baseline)
         std::vector<Running> running;
-    };
-    struct Answer {
-        std::size_t upstream = 0;
-        TimePoint started;
-        TimePoint at;
-        bool failed = false;
-        OperationId operation;
-        Duration latency{};
+        std::deque<Answer> recent; ///< latest answers, the last one latest
     };
     struct InProgressEvidence {
         double fresh = 0; ///< evidence from requests on new connections
@@ -145,13 +146,16 @@
     void updateExcess(std::size_t upstream, const OperationId &operation, Duration latency);
     std::optional<bool> observeAbandoned(TimePoint now, std::size_t upstream, const Observation &observation, bool forgiveSlowness);
     void countAnswer(Answer answer, bool bad);
-    bool isBad(const Answer &answer) const;
+    bool isBad(const Answer &answer, std::size_t subject) const;
+    double presentSlowness(std::size_t upstream) const;
+    bool latestSiblingAnswersAreGood(std::size_t upstream) const;
 
     contract::HealthPolicy m_policy;
     SlownessTest m_slowness;
     LatencyBaseline m_baseline;
     std::vector<Upstream> m_upstreams;
-    std::deque<Answer> m_recent; ///< latest answers of all upstreams, in the order of their arrival
+    double m_answersPerSecond = 0; ///< moving rate of all answers at m_lastAnswer
+    TimePoint m_lastAnswer;
 };
 
 } // namespace jackdawdoor::health
--- a/src/health/localhealth.cpp
+++ b/src/health/localhealth.cpp
@@ -30,7 +30,6 @@
     , m_floor(policy.health.healthyFloor)
     , m_entries(policy.upstreams.size(), Entry{policy.health})
     , m_workingSet(policy, m_self)
-    , m_lastDispatched(policy.upstreams.size())
 {
     for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
         m_index.emplace(policy.upstreams[index].id, index);
@@ -50,8 +49,7 @@
     }
     auto &entry = m_entries[*index];
     entry.lastStarted = now;
-    m_consecutive = m_lastDispatched == *index ? m_consecutive + 1 : 1;
-    m_lastDispatched = *index;
+    m_checksInARow = m_detector.deservesCheck(now, *index) ? m_checksInARow + 1 : 0;
     m_detector.attemptStarted(now, *index, attempt, operation, freshConnection);
     if (kind == AttemptKind::Trial) {
         entry.probation.trialStarted(now);
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -114,8 +114,7 @@
     FloorGuard m_floor;
     std::vector<Entry> m_entries;
     WorkingSet m_workingSet;
-    std::size_t m_lastDispatched = 0; ///< upstream of the latest attempt
-    int m_consecutive = 0; ///< latest attempts that all went there
+    int m_checksInARow = 0; ///< latest attempts that all went to upstreams in doubt
     bool m_urgent = false;
 };
 
--- a/src/health/localhealthview.cpp
+++ b/src/health/localhealthview.cpp
@@ -9,7 +9,8 @@
 
 /** Checks of one suspect that may run at once. */
 constexpr int mostChecks = 4;
-/** Checks alternate with requests to other upstreams, since an ejection needs answers of healthy siblings as well. Failures
+/** Checks, of whichever upstream, alternate with requests to upstreams that are not in doubt, because an ejection needs
+ * answers of those as well, and a service that is slow as a whole shows only in them. Failures
  * are plain, and one to one contrasts them soonest; slowness needs more answers of the suspect. */
 constexpr int failureChecksInARow = 1;
 constexpr int slownessChecksInARow = 3;
@@ -59,8 +60,8 @@
     if (entry.kept) {
         state.checkDue = state.unused >= keptCheckInterval && state.inProgress == 0;
     } else {
-        state.checkDue = (opinionWanted || m_detector.deservesCheck(now, *index)) && state.inProgress < mostChecks
-                         && (m_lastDispatched != *index || m_consecutive < checksInARow);
+        state.checkDue =
+            (opinionWanted || m_detector.deservesCheck(now, *index)) && state.inProgress < mostChecks && m_checksInARow < checksInARow;
     }
     if (isCold(now, entry)) {
         state.standing = Standing::Cold;
