--- a/src/health/graycontrast.cpp
+++ b/src/health/graycontrast.cpp
@@ -10,15 +10,15 @@
 
 /** Evidence that an upstream differs from its siblings since the first bad answer, without which it is not ejected: a fault
  * of the whole service begins with the same bad answers. A slow service also moves the baseline, so less is needed there. */
-constexpr double contrastOfFailing = 4.5;
-constexpr double contrastOfSlow = 3.5;
+constexpr double contrastOfFailing = 5.5;
+constexpr double contrastOfSlow = 3.0;
 /** Latest answers of a sibling that count for the contrast; checks of another suspect must not outweigh healthy siblings. */
 constexpr int answersPerSibling = 3;
 /** Latest answers of all siblings that must be good. A fault of the service that begins just after a chance error of one
  * upstream would otherwise be contrasted with good answers from before it. */
 constexpr std::size_t decisiveAnswers = 2;
 /** Up to this rate of answers the contrasts above hold; each e-fold more answers give e times as many chances to err. */
-constexpr double contrastRate = 20;
+constexpr double contrastRate = 30;
 
 } // namespace
 
--- a/test/correctness/simulatedservice.h
+++ b/test/correctness/simulatedservice.h
@@ -4,6 +4,7 @@
 #include "contract/policy.h"
 #include "health/fleethealth.h"
 #include "health/localhealth.h"
+#include "limits/retrybudget.h"
 #include "routing/chooseupstream.h"
 
 #include <algorithm>
@@ -71,8 +72,9 @@
         for (int index = 0; index < holders; ++index) {
             m_names.push_back(InstanceId{"i" + std::to_string(index)});
             m_holders.emplace_back(m_policy, m_names.back(), 1);
-            schedule(arrivalTime(), {Kind::Arrival, static_cast<std::size_t>(index), {}, 0});
-            schedule(TimePoint{}, {Kind::Tick, static_cast<std::size_t>(index), {}, 0});
+            m_budgets.emplace_back(0.1, 6);
+            schedule(arrivalTime(), {Kind::Arrival, static_cast<std::size_t>(index), {}, false});
+            schedule(TimePoint{}, {Kind::Tick, static_cast<std::size_t>(index), {}, false});
         }
     }
 
@@ -121,7 +123,7 @@
         Kind kind = Kind::Tick;
         std::size_t holder = 0;
         health::Observation observation{};
-        std::size_t upstream = 0;
+        bool idempotent = false; ///< of a Finish: it may be tried once more
         TimePoint at{};
         bool operator>(const Event &other) const
         {
@@ -145,11 +147,13 @@
         switch (event.kind) {
         case Kind::Arrival:
             schedule(arrivalTime(), event);
-            dispatch(event.holder);
+            m_budgets[event.holder].onOriginal();
+            dispatch(event.holder, uniform(m_random) < idempotentShare, {});
             return;
         case Kind::Finish:
             note(event.holder, m_holders[event.holder].record(m_now, event.observation));
             exchange(event.holder, false);
+            retry(event);
             return;
         case Kind::Tick:
             note(event.holder, m_holders[event.holder].onTick(m_now));
@@ -159,7 +163,16 @@
         }
     }
 
-    void dispatch(std::size_t holderIndex)
+    /** As the core does: a failed idempotent request is tried once more elsewhere, within the retry budget. */
+    void retry(const Event &event)
+    {
+        const bool retryable = event.idempotent && health::isFailure(event.observation.outcome);
+        if (retryable && m_budgets[event.holder].tryRetry()) {
+            dispatch(event.holder, true, {event.observation.upstream});
+        }
+    }
+
+    void dispatch(std::size_t holderIndex, bool idempotent, const std::vector<UpstreamId> &excluded)
     {
         auto &holder = m_holders[holderIndex];
         m_candidates.resize(m_policy.upstreams.size());
@@ -170,15 +183,15 @@
             candidate.freeSlots = std::max(0, m_policy.upstreams[index].slots - candidate.state.inProgress);
             candidate.expectedLatency = holder.expectedLatency(m_operation, candidate.upstream);
         }
-        const routing::RoutingRequest request{m_operation, uniform(m_random) < idempotentShare, {}};
+        const routing::RoutingRequest request{m_operation, idempotent, excluded};
         const auto decision = routing::chooseUpstream(m_now, request, m_candidates, m_random);
         if (!decision.choice) {
             return;
         }
-        send(holderIndex, *decision.choice, decision);
+        send(holderIndex, *decision.choice, decision, idempotent && excluded.empty());
     }
 
-    void send(std::size_t holderIndex, std::size_t upstream, const routing::RoutingDecision &decision)
+    void send(std::size_t holderIndex, std::size_t upstream, const routing::RoutingDecision &decision, bool retryable)
     {
         const auto &id = m_policy.upstreams[upstream].id;
         const auto attempt = ++m_attempt;
@@ -200,7 +213,7 @@
             observation.outcome = behave.failure;
             observation.firstByte = std::chrono::milliseconds{1}; // failing fast must not attract load
         }
-        schedule(m_now + observation.firstByte, {Kind::Finish, holderIndex, observation, upstream});
+        schedule(m_now + observation.firstByte, {Kind::Finish, holderIndex, observation, retryable});
     }
 
     void note(std::size_t holder, const std::vector<health::HealthChange> &changes)
@@ -231,6 +244,7 @@
     health::FleetHealth m_fleet;
     std::vector<InstanceId> m_names;
     std::vector<health::LocalHealth> m_holders;
+    std::vector<limits::RetryBudget> m_budgets;
     std::vector<routing::RoutingCandidate> m_candidates;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     OperationId m_operation{"c/s/read"};
