--- a/src/health/localhealthview.cpp
+++ b/src/health/localhealthview.cpp
@@ -13,7 +13,7 @@
  * answers of those as well, and a service that is slow as a whole shows only in them. Failures
  * are plain, and one to one contrasts them soonest; slowness needs more answers of the suspect. */
 constexpr int failureChecksInARow = 1;
-constexpr int slownessChecksInARow = 3;
+constexpr int slownessChecksInARow = 4;
 /** Good answers within one report that settle a second opinion. */
 constexpr std::uint32_t enoughForOpinion = 5;
 /** An upstream that only the floor keeps gets a check this often, and after a longer time without any ordinary work. */
--- a/src/routing/chooseupstream.cpp
+++ b/src/routing/chooseupstream.cpp
@@ -31,10 +31,10 @@
 
     RoutingDecision decide()
     {
-        if (m_request.idempotent && chooseFirst(m_trials, ChoiceReason::Trial)) {
+        if (m_request.idempotent && chooseRandom(m_trials, ChoiceReason::Trial)) {
             m_decision.kind = health::AttemptKind::Trial;
             m_decision.newConnection = true;
-        } else if (m_request.idempotent && chooseFirst(m_checks, ChoiceReason::Check)) {
+        } else if (m_request.idempotent && chooseWorst(m_checks, ChoiceReason::Check)) {
         } else if (chooseUnused() || chooseShorterWait()) {
         } else {
             chooseLastResort();
@@ -90,7 +90,7 @@
         return std::uniform_int_distribution<std::size_t>{0, bound - 1}(m_random);
     }
 
-    bool chooseFirst(const std::vector<std::size_t> &among, ChoiceReason reason)
+    bool chooseRandom(const std::vector<std::size_t> &among, ChoiceReason reason)
     {
         if (among.empty()) {
             return false;
@@ -99,6 +99,18 @@
         return true;
     }
 
+    bool chooseWorst(const std::vector<std::size_t> &among, ChoiceReason reason)
+    {
+        const auto worst = std::max_element(among.begin(), among.end(), [this](std::size_t left, std::size_t right) {
+            return m_candidates[left].state.severity < m_candidates[right].state.severity;
+        });
+        if (worst == among.end()) {
+            return false;
+        }
+        choose(*worst, reason);
+        return true;
+    }
+
     bool chooseUnused()
     {
         const auto longest = std::max_element(m_usable.begin(), m_usable.end(), [this](std::size_t left, std::size_t right) {
