--- a/src/core/activerequest.h
+++ b/src/core/activerequest.h
@@ -32,6 +32,7 @@
     ServiceId service;
     UpstreamId upstream;
     TimePoint started;
+    std::optional<TimePoint> answered; ///< when a right answer's head arrived
     health::AttemptKind kind = health::AttemptKind::Ordinary;
     bool retry = false; ///< paid for from the retry budget
     bool suspectTrial = false; ///< exclusive trial of a crash suspect
--- a/src/core/requestflowanswers.cpp
+++ b/src/core/requestflowanswers.cpp
@@ -37,7 +37,7 @@
     observation.operation = request == m_requests.end() ? OperationId{} : request->second.operation().id;
     observation.attempt = attempt.id;
     observation.outcome = outcome;
-    observation.firstByte = now - attempt.started;
+    observation.firstByte = attempt.answered.value_or(now) - attempt.started;
     observation.newConnection = newConnection;
     observation.kind = attempt.kind;
     m_services.applyHealthChanges(now, *service, service->health.record(now, observation));
@@ -74,7 +74,10 @@
     }
     const OutcomeKind outcome = classifyHead(request.operation().wrongAnswer, head);
     if (outcome == OutcomeKind::Success) {
-        observe(now, attempt, outcome, false);
+        attempt.answered = now;
+        if (ServiceState *service = m_services.find(attempt.service)) {
+            service->health.headArrived(now, attempt.upstream, attempt.id);
+        }
         relay(now, request, attempt, head);
     } else {
         onBadHead(now, request, attempt, head, outcome);
@@ -227,8 +230,7 @@
 {
     const bool complete = report.end == AttemptEnd::Complete;
     const bool shortBody = complete && isShortBody(request.operation().wrongAnswer, request.relayedHead, report);
-    if (shortBody || (!complete && report.end != AttemptEnd::Cancelled)) {
-        // The head was counted as a success; the fault of the body is a further observation.
+    if (!attempt.observed) {
         observe(now, attempt, shortBody ? OutcomeKind::ShortBody : classifyEnd(report.end), report.newConnection);
     }
     RunReport run;
--- a/src/core/servicestate.cpp
+++ b/src/core/servicestate.cpp
@@ -21,9 +21,9 @@
     index();
 }
 
-void ServiceState::adopt(configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version)
+void ServiceState::adopt(TimePoint now, configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version)
 {
-    health.adoptPolicy(servicePolicy, version);
+    health.adoptPolicy(now, servicePolicy, version);
     slots.adoptPolicy(servicePolicy, version);
     if (!(servicePolicy == *policy)) {
         connections = limits::ConnectionRule(servicePolicy);
--- a/src/core/servicetable.cpp
+++ b/src/core/servicetable.cpp
@@ -239,7 +239,7 @@
     for (auto &[id, service] : m_services) {
         const contract::ServicePolicy *changed = policy ? policy->findService(id) : nullptr;
         if (changed != nullptr && state) {
-            service->adopt(policy, *changed, state->version);
+            service->adopt(now, policy, *changed, state->version);
             markLeaving(*service);
         }
     }
--- a/src/health/localhealth.cpp
+++ b/src/health/localhealth.cpp
@@ -30,22 +30,22 @@
     , m_floor(policy.health.healthyFloor)
     , m_entries(policy.upstreams.size(), Entry{policy.health})
     , m_workingSet(policy, m_self)
-    , m_lastDispatched(policy.upstreams.size())
 {
     for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
         m_index.emplace(policy.upstreams[index].id, index);
     }
 }
 
-void LocalHealth::adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion)
+void LocalHealth::adoptPolicy(TimePoint now, const contract::ServicePolicy &policy, std::uint64_t policyVersion)
 {
     const UpstreamMapping mapping = mapUpstreams(m_policy, policy);
     detail::rearrange(m_entries, mapping, Entry{policy.health});
-    m_detector.adoptPolicy(policy.health, mapping);
+    m_detector.adoptPolicy(now, policy.health, mapping);
     m_floor = FloorGuard(policy.health.healthyFloor);
     m_policy = policy;
     m_policyVersion = policyVersion;
-    m_lastDispatched = policy.upstreams.size();
+    m_checksInARow = 0;
+    m_workingSet = WorkingSet(policy, m_self);
     m_index.clear();
     for (std::size_t index = 0; index < policy.upstreams.size(); ++index) {
         m_index.emplace(policy.upstreams[index].id, index);
@@ -66,8 +66,7 @@
     }
     auto &entry = m_entries[*index];
     entry.lastStarted = now;
-    m_consecutive = m_lastDispatched == *index ? m_consecutive + 1 : 1;
-    m_lastDispatched = *index;
+    m_checksInARow = m_detector.deservesCheck(now, *index) ? m_checksInARow + 1 : 0;
     m_detector.attemptStarted(now, *index, attempt, operation, freshConnection);
     if (kind == AttemptKind::Trial) {
         entry.probation.trialStarted(now);
@@ -76,6 +75,13 @@
     }
 }
 
+void LocalHealth::headArrived(TimePoint now, const UpstreamId &upstream, std::uint64_t attempt)
+{
+    if (const auto index = indexOf(upstream)) {
+        m_detector.headArrived(now, *index, attempt, isCold(now, m_entries[*index]));
+    }
+}
+
 std::vector<HealthChange> LocalHealth::record(TimePoint now, const Observation &observation)
 {
     std::vector<HealthChange> changes;
--- a/src/health/localhealth.h
+++ b/src/health/localhealth.h
@@ -42,6 +42,11 @@
                         AttemptKind kind,
                         bool freshConnection);
 
+    /** The head of a right answer arrived. Optional; without it the latency counts when the whole answer is recorded, and an
+     * answer with a long body counts as slow until then.
+     */
+    void headArrived(TimePoint now, const UpstreamId &upstream, std::uint64_t attempt);
+
     /** An attempt's outcome is known; unknown upstreams are ignored. Changes follow at the next onTick or at once. */
     std::vector<HealthChange> record(TimePoint now, const Observation &observation);
 
@@ -64,7 +69,7 @@
     void markStarted(TimePoint now, const UpstreamId &upstream);
 
     /** Continues with a later policy; what is known of upstreams that remain is kept. */
-    void adoptPolicy(const contract::ServicePolicy &policy, std::uint64_t policyVersion);
+    void adoptPolicy(TimePoint now, const contract::ServicePolicy &policy, std::uint64_t policyVersion);
 
     /** Upstreams that are neither ejected nor draining, leaving or cold. */
     int usable(TimePoint now) const;
@@ -112,8 +117,7 @@
     FloorGuard m_floor;
     std::vector<Entry> m_entries;
     WorkingSet m_workingSet;
-    std::size_t m_lastDispatched = 0; ///< upstream of the latest attempt
-    int m_consecutive = 0; ///< latest attempts that all went there
+    int m_checksInARow = 0; ///< latest attempts that all went to upstreams in doubt
     bool m_urgent = false;
 };
 
