--- a/src/net/answerpipe.cpp
+++ b/src/net/answerpipe.cpp
@@ -23,7 +23,7 @@
     m_producerHook = std::move(hook);
 }
 
-void AnswerPipe::setConsumerHook(Hook hook)
+void AnswerPipe::setConsumerHook(const Hook &hook)
 {
     {
         const std::lock_guard lock(m_mutex);
--- a/src/net/answerpipe.h
+++ b/src/net/answerpipe.h
@@ -47,7 +47,7 @@
     void setProducerHook(Hook hook);
 
     /** Called, on the producer's thread, when there is something new to take, and once at once. */
-    void setConsumerHook(Hook hook);
+    void setConsumerHook(const Hook &hook);
 
     void start(AnswerStart start);
 
--- a/src/net/http2streams.cpp
+++ b/src/net/http2streams.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <utility>
 
 namespace jackdawdoor::net {
@@ -69,7 +68,7 @@
         sending.position = 0;
     }
     const std::size_t count = std::min(length, sending.bytes.size() - sending.position);
-    std::memcpy(buffer, sending.bytes.data() + sending.position, count);
+    std::copy_n(sending.bytes.data() + sending.position, count, buffer);
     sending.position += count;
     const bool empty = sending.position == sending.bytes.size();
     if (empty && sending.state == AnswerPipe::State::Complete) {
--- a/src/net/httpfrontend.cpp
+++ b/src/net/httpfrontend.cpp
@@ -84,7 +84,7 @@
     signalRequest.emit(number, content);
 }
 
-void HttpFrontEnd::begin(core::RequestId request, std::shared_ptr<AnswerPipe> pipe)
+void HttpFrontEnd::begin(core::RequestId request, const std::shared_ptr<AnswerPipe> &pipe)
 {
     const auto found = m_open.find(request);
     if (found == m_open.end() || found->second.pipe) {
--- a/src/net/httpfrontend.h
+++ b/src/net/httpfrontend.h
@@ -45,7 +45,7 @@
     };
 
     void accept(evhttp_request *request);
-    void begin(core::RequestId request, std::shared_ptr<AnswerPipe> pipe);
+    void begin(core::RequestId request, const std::shared_ptr<AnswerPipe> &pipe);
     void pump(core::RequestId request);
     bool startAnswer(Open &open);
     void finish(core::RequestId request, RequestEnd end);
--- a/src/net/peersession.cpp
+++ b/src/net/peersession.cpp
@@ -129,7 +129,7 @@
     m_connection.respond(stream, accepted, Http2Connection::fixed({}));
 }
 
-void PeerSession::answer(std::int32_t stream, std::shared_ptr<AnswerPipe> pipe)
+void PeerSession::answer(std::int32_t stream, const std::shared_ptr<AnswerPipe> &pipe)
 {
     const auto found = m_streams.find(stream);
     if (found == m_streams.end() || found->second.pipe) {
--- a/src/net/peersession.h
+++ b/src/net/peersession.h
@@ -32,7 +32,7 @@
     PeerSession &operator=(const PeerSession &) = delete;
 
     /** Answers a forwarded request. */
-    void answer(std::int32_t stream, std::shared_ptr<AnswerPipe> pipe);
+    void answer(std::int32_t stream, const std::shared_ptr<AnswerPipe> &pipe);
 
     /** All that was to be sent has left this process. */
     bool sent() const;
--- a/src/net/serverexchange.cpp
+++ b/src/net/serverexchange.cpp
@@ -239,7 +239,7 @@
     // connection; SO_LINGER would not, since evhttp shuts the socket down before it closes it.
     sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(lost)), &none, sizeof(none));
+    static_cast<void>(connect(bufferevent_getfd(evhttp_connection_get_bufferevent(lost)), &none, sizeof(none)));
     evhttp_connection_free(lost);
     m_request = nullptr;
 }
--- a/src/settings/settingsfile.cpp
+++ b/src/settings/settingsfile.cpp
@@ -95,7 +95,7 @@
 
     std::string url(const char *key)
     {
-        const std::string value = text(key);
+        std::string value = text(key);
         if (!value.starts_with("http://")) {
             report(key, "'" + value + "': expected a URL that starts with http://");
         }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -53,7 +53,7 @@
 }
 
 /** JSON string of the value; bytes that are not UTF-8 are replaced so that a caller's bytes cannot break the log. */
-std::string quoted(std::string_view value)
+std::string jsonText(std::string_view value)
 {
     return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -62,20 +62,20 @@
 {
     std::string line = timeText() + " " + levelName(level) + " " + std::string(step) + ": ";
     // Control characters would let a caller start a log line of its own.
-    const std::string escaped = quoted(message);
+    const std::string escaped = jsonText(message);
     line += escaped.substr(1, escaped.size() - 2);
     for (const auto &[name, value] : fields) {
-        line += " " + name + "=" + quoted(value);
+        line += " " + name + "=" + jsonText(value);
     }
     return line;
 }
 
 std::string formatJson(LogLevel level, std::string_view step, std::string_view message, const LogFields &fields)
 {
-    std::string line = R"({"time":")" + timeText() + R"(","level":")" + levelName(level) + R"(","step":)" + quoted(step);
-    line += R"(,"message":)" + quoted(message);
+    std::string line = R"({"time":")" + timeText() + R"(","level":")" + levelName(level) + R"(","step":)" + jsonText(step);
+    line += R"(,"message":)" + jsonText(message);
     for (const auto &[name, value] : fields) {
-        line += "," + quoted(name) + ":" + quoted(value);
+        line += "," + jsonText(name) + ":" + jsonText(value);
     }
     return line + "}";
 }
--- a/test/correctness/streaming_test.cpp
+++ b/test/correctness/streaming_test.cpp
@@ -52,6 +52,7 @@
     standins::Upstream upstream;
     standins::DirectProxy proxy(orderFor(upstream));
     std::vector<std::thread> callers;
+    callers.reserve(8);
     std::atomic<int> wrong = 0;
     for (int caller = 0; caller < 8; ++caller) {
         callers.emplace_back([&, caller] {
--- a/test/standins/rawclient.cpp
+++ b/test/standins/rawclient.cpp
@@ -17,7 +17,7 @@
 RawClient::RawClient(int port, int timeoutMilliseconds)
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
-    const timeval timeout{timeoutMilliseconds / 1000, (timeoutMilliseconds % 1000) * 1000};
+    const timeval timeout{timeoutMilliseconds / 1000, (timeoutMilliseconds % 1000) * 1000L};
     setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
     sockaddr_in address{};
