--- a/src/core/servicestate.cpp
+++ b/src/core/servicestate.cpp
@@ -21,7 +21,10 @@
     index();
 }
 
-void ServiceState::adopt(TimePoint now, configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version)
+void ServiceState::adopt(TimePoint now,
+                         configuration::PolicyPointer customerPolicy,
+                         const contract::ServicePolicy &servicePolicy,
+                         std::uint64_t version)
 {
     health.adoptPolicy(now, servicePolicy, version);
     slots.adoptPolicy(servicePolicy, version);
--- a/src/core/servicestate.h
+++ b/src/core/servicestate.h
@@ -24,7 +24,8 @@
                  const InstanceId &self);
 
     /** Continues with a later version of the contract; evidence starts anew only where the service itself changed. */
-    void adopt(TimePoint now, configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version);
+    void
+    adopt(TimePoint now, configuration::PolicyPointer customerPolicy, const contract::ServicePolicy &servicePolicy, std::uint64_t version);
 
     configuration::PolicyPointer customer; ///< keeps `policy` alive
     const contract::ServicePolicy *policy;
