Declare the publish command and the tables of the status command

Cause: contracts could be checked only by code, and published not at all. Change: headers of publish, of waiting for a fleet and of tables; a page of the log now says where the next read starts. The log service's next_offset is the end of the log, and an instance that read a log of more than one page took it as read to the end, which skipped the rest (found by reading; a test follows).

--- a/src/cli/checkcommand.cpp
+++ b/src/cli/checkcommand.cpp
@@ -39,13 +39,13 @@
     const auto text = readText(file);
     if (!text) {
         err << text.error() << "\n";
-        return {ContractUnreadable, std::nullopt};
+        return {ContractUnreadable, {}, std::nullopt};
     }
     contract::ParseResult result = contract::parseContract(text.value());
     for (const contract::Fault &fault : result.faults) {
         printFault(file, fault, err);
     }
-    return {result.accepted() ? ContractAccepted : ContractFaulty, std::move(result.contract)};
+    return {result.accepted() ? ContractAccepted : ContractFaulty, text.value(), std::move(result.contract)};
 }
 
 int runCheck(const std::string &file, std::ostream &out, std::ostream &err)
--- a/src/cli/checkcommand.h
+++ b/src/cli/checkcommand.h
@@ -19,6 +19,7 @@
 /** A contract file that was read, or the exit code that says why it was not. */
 struct ContractFile {
     int exitCode = ContractAccepted;
+    std::string text; ///< as read; empty when the file is unreadable
     std::optional<contract::Contract> contract; ///< set if and only if the exit code is ContractAccepted
 };
 
--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -23,7 +23,7 @@
     std::ostringstream text;
     text << "Usage: jackdawdoor " << command.name;
     for (const CommandFlag &flag : command.flags) {
-        text << (flag.required ? " --" : " [--") << flag.name << (flag.required ? "=VALUE" : "=VALUE]");
+        text << (flag.required ? " --" : " [--") << flag.name << (flag.takesValue ? "=VALUE" : "") << (flag.required ? "" : "]");
     }
     text << (command.arguments.empty() ? "" : " ") << command.arguments << "\n\n" << command.summary << "\n";
     for (const CommandFlag &flag : command.flags) {
@@ -44,6 +44,16 @@
     return text.str();
 }
 
+std::string argumentFault(const Command &command, const std::vector<std::string> &positional)
+{
+    const std::size_t most = command.arguments.empty() ? 0 : 1;
+    const std::size_t least = command.arguments.empty() || command.arguments.starts_with('[') ? 0 : 1;
+    if (positional.size() < least) {
+        return "the argument " + command.arguments + " is missing";
+    }
+    return positional.size() > most ? "the argument " + positional[most] + " is not expected" : std::string{};
+}
+
 std::string flagFault(const Command &command, const std::vector<std::string> &arguments)
 {
     std::vector<std::string> given;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -13,6 +13,7 @@
     std::string name; ///< without dashes
     std::string help;
     bool required = false;
+    bool takesValue = true; ///< false for a switch such as --json
 
     bool operator==(const CommandFlag &) const = default;
 };
@@ -22,7 +23,7 @@
     using Run = std::function<int(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)>;
 
     std::string name;
-    std::string arguments; ///< positional arguments as shown in help
+    std::string arguments; ///< the positional argument as shown in help; none when empty, optional when it starts with "["
     std::string summary;
     std::string exitCodes; ///< what each exit code means for this command
     std::vector<CommandFlag> flags;
@@ -35,6 +36,9 @@
 /** Help of the program: one line for each command. */
 std::string helpText(const std::vector<Command> &commands);
 
+/** Why the positional arguments do not fit the command, or an empty string. */
+std::string argumentFault(const Command &command, const std::vector<std::string> &positional);
+
 /** Why the arguments do not fit the command's flags, or an empty string. */
 std::string flagFault(const Command &command, const std::vector<std::string> &arguments);
 
--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -13,6 +13,8 @@
     Failed = 1, ///< the command ran and its result is negative: refused, rejected, not valid, cannot start
     Usage = 2, ///< the command line is wrong, or a named file cannot be read
     Unreachable = 3, ///< no answer from the instance or the platform; the result is unknown
+    LostRace = 4, ///< publish: another publish came first
+    NotEverywhere = 5, ///< publish: accepted, but not in force on each instance within the time to wait
 };
 
 /** Runs the command named by the first argument and returns its exit code.
--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -1,23 +1,17 @@
 #include "cli/explaincommand.h"
 
 #include "cli/checkcommand.h"
+#include "cli/table.h"
 #include "contract/explanation.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <array>
-#include <cstddef>
 #include <vector>
 
 namespace jackdawdoor::cli {
 
 namespace {
 
-// The last column, the rule, is not padded.
-constexpr std::size_t columns = 6;
-using Row = std::array<std::string, columns>;
-
 std::string sourceLines(const contract::Explanation &explanation)
 {
     std::string lines;
@@ -27,9 +21,9 @@
     return lines;
 }
 
-std::vector<Row> makeRows(const std::vector<contract::Explanation> &explanations)
+Table makeTable(const std::vector<contract::Explanation> &explanations)
 {
-    std::vector<Row> rows{{"SUBJECT", "NAME", "VALUE", "UNIT", "LINES", "RULE"}};
+    Table rows{{"SUBJECT", "NAME", "VALUE", "UNIT", "LINES", "RULE"}};
     for (const contract::Explanation &explanation : explanations) {
         rows.push_back(
             {explanation.subject, explanation.name, explanation.value, explanation.unit, sourceLines(explanation), explanation.rule});
@@ -37,23 +31,6 @@
     return rows;
 }
 
-void printTable(const std::vector<Row> &rows, std::ostream &out)
-{
-    std::array<std::size_t, columns> widths{};
-    for (const Row &row : rows) {
-        for (std::size_t column = 0; column < columns; ++column) {
-            widths[column] = std::max(widths[column], row[column].size());
-        }
-    }
-    constexpr std::size_t gap = 2;
-    for (const Row &row : rows) {
-        for (std::size_t column = 0; column + 1 < columns; ++column) {
-            out << row[column] << std::string(widths[column] - row[column].size() + gap, ' ');
-        }
-        out << row.back() << "\n";
-    }
-}
-
 // Values are numbers, true, false or "none", so that they are JSON as they stand but for "none".
 nlohmann::ordered_json jsonValue(const std::string &value)
 {
@@ -96,7 +73,7 @@
     if (json) {
         printJson(explanations, out);
     } else {
-        printTable(makeRows(explanations), out);
+        printTable(makeTable(explanations), out);
     }
     return read.exitCode;
 }
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -72,6 +72,9 @@
         evhttp_add_header(headers, "Host", host.c_str());
         evhttp_add_header(headers, "Connection", "close");
         evhttp_add_header(headers, "Content-Length", std::to_string(m_request.body.size()).c_str());
+        for (const Header &header : m_request.headers) {
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+        }
         evbuffer_add(evhttp_request_get_output_buffer(request), m_request.body.data(), m_request.body.size());
         const char *path = evhttp_uri_get_path(uri);
         const char *query = evhttp_uri_get_query(uri);
--- a/src/net/httpfetch.h
+++ b/src/net/httpfetch.h
@@ -16,6 +16,7 @@
     std::string method = "GET"; ///< GET, POST or PUT
     std::string url; ///< http://host:port/path
     std::string body;
+    Headers headers; ///< besides Host, Connection and Content-Length
     Duration timeout = std::chrono::seconds{2}; ///< for the whole exchange
     std::size_t maximumAnswerBytes = std::size_t{16} * 1024 * 1024;
 
--- a/src/net/instancecore.cpp
+++ b/src/net/instancecore.cpp
@@ -157,7 +157,8 @@
 {
     configuration::LogPage converted;
     converted.firstRetained = page.firstRetained;
-    converted.nextOffset = page.nextOffset;
+    // A full page ends before the end of the log, and the records behind it have not been read yet.
+    converted.nextOffset = page.entries.empty() ? page.nextOffset : page.entries.back().offset + 1;
     converted.retention = page.retention;
     converted.entries.reserve(page.entries.size());
     for (const LogPageEntry &entry : page.entries) {
