--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 lint: build
 	./tools/check-lint.sh $(BUILD)
+
+demo: build
+	./tools/demo.sh $(BUILD)
--- a/src/cli/clientcommands.cpp
+++ b/src/cli/clientcommands.cpp
@@ -1,6 +1,8 @@
 #include "cli/clientcommands.h"
 
 #include "cli/commandline.h"
+#include "cli/statustable.h"
+#include "cli/url.h"
 #include "net/httpfetch.h"
 
 #include <nlohmann/json.hpp>
@@ -11,48 +13,50 @@
 
 constexpr int firstFailureStatus = 400;
 
-/** Value of a query parameter; everything but unreserved characters is percent-encoded. */
-std::string encoded(const std::string &value)
-{
-    constexpr const char *digits = "0123456789ABCDEF";
-    std::string text;
-    for (const char character : value) {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool unreserved = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z') || byte == '-'
-                                || byte == '.' || byte == '_' || byte == '~';
-        if (unreserved) {
-            text.push_back(character);
-        } else {
-            text += {'%', digits[byte / 16], digits[byte % 16]};
-        }
-    }
-    return text;
-}
+/** Body of a good answer, or the exit code after the fault was printed. */
+struct Asked {
+    int exitCode = Success;
+    std::string body;
+};
 
-int printAnswer(const std::string &url, std::ostream &out, std::ostream &err)
+Asked ask(const std::string &step, const std::string &url, std::ostream &err)
 {
     net::FetchRequest request;
     request.url = url;
     const auto answer = net::fetchAndWait(request);
     if (!answer.has_value()) {
-        err << answer.error() << std::endl;
-        return Unreachable;
+        err << Error{step, url, answer.error().reason} << std::endl;
+        return {Unreachable, {}};
     }
-    const auto json = nlohmann::ordered_json::parse(answer.value().body, nullptr, false);
-    const std::string text = json.is_discarded() ? answer.value().body : json.dump(2);
     if (answer.value().status >= firstFailureStatus) {
-        err << text << std::endl;
-        return Failed;
+        err << Error{step, url, "status " + std::to_string(answer.value().status) + ": " + answer.value().body} << std::endl;
+        return {Failed, {}};
     }
-    out << text << std::endl;
-    return Success;
+    return {Success, answer.value().body};
+}
+
+void printJson(const std::string &body, std::ostream &out)
+{
+    const auto json = nlohmann::ordered_json::parse(body, nullptr, false);
+    out << (json.is_discarded() ? body : json.dump(2)) << std::endl;
 }
 
 } // namespace
 
-int runStatus(const std::string &instanceUrl, std::ostream &out, std::ostream &err)
+int runStatus(const std::string &instanceUrl, bool json, std::ostream &out, std::ostream &err)
 {
-    return printAnswer(instanceUrl + "/v1/status", out, err);
+    const std::string url = instanceUrl + "/v1/status";
+    const Asked asked = ask("read status", url, err);
+    if (asked.exitCode != Success) {
+        return asked.exitCode;
+    }
+    if (json) {
+        printJson(asked.body, out);
+    } else if (!printStatus(asked.body, out)) {
+        err << Error{"read status", url, "the answer is not a status; is this an operators' address?"} << std::endl;
+        return Failed;
+    }
+    return Success;
 }
 
 int runPlace(const std::string &instanceUrl,
@@ -62,8 +66,13 @@
              std::ostream &out,
              std::ostream &err)
 {
-    const std::string query = "customer=" + encoded(customer) + "&service=" + encoded(service) + "&caller=" + encoded(caller);
-    return printAnswer(instanceUrl + "/v1/place?" + query, out, err);
+    const std::string query =
+        "customer=" + encodeQueryValue(customer) + "&service=" + encodeQueryValue(service) + "&caller=" + encodeQueryValue(caller);
+    const Asked asked = ask("ask for a place", instanceUrl + "/v1/place?" + query, err);
+    if (asked.exitCode == Success) {
+        printJson(asked.body, out);
+    }
+    return asked.exitCode;
 }
 
 } // namespace jackdawdoor::cli
--- a/src/cli/clientcommands.h
+++ b/src/cli/clientcommands.h
@@ -6,8 +6,9 @@
 
 namespace jackdawdoor::cli {
 
-/** Prints the status of the instance at an operators' address ("http://ip:port"). Returns an ExitCode. */
-int runStatus(const std::string &instanceUrl, std::ostream &out, std::ostream &err);
+/** Prints the status of the instance at an operators' address ("http://ip:port"), as tables or as JSON. Returns an
+ * ExitCode. */
+int runStatus(const std::string &instanceUrl, bool json, std::ostream &out, std::ostream &err);
 
 /** Prints where a caller of a service should connect, as the instance at a callers' address says. Returns an ExitCode. */
 int runPlace(const std::string &instanceUrl,
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -1,20 +1,31 @@
 #include "cli/commandline.h"
 
+#include "cli/checkcommand.h"
 #include "cli/clientcommands.h"
 #include "cli/command.h"
+#include "cli/explaincommand.h"
+#include "cli/publishcommand.h"
 #include "cli/servecommand.h"
+#include "net/httpmessage.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 ABSL_FLAG(std::string, settings, "", "settings file of the instance");
 ABSL_FLAG(std::string, instance, "", "address of a running instance, such as http://127.0.0.1:8080");
 ABSL_FLAG(std::string, customer, "", "customer as named in its contract");
 ABSL_FLAG(std::string, service, "", "service as named in the contract");
+ABSL_FLAG(bool, json, false, "print JSON");
+ABSL_FLAG(std::string, log, "", "base URL of the log service, such as http://127.0.0.1:9000");
+ABSL_FLAG(std::string, delete, "", "customer to delete");
+ABSL_FLAG(std::string, wait, "0", "seconds to wait until the change is in force");
+ABSL_FLAG(std::string, fleet, "", "operators' addresses of instances, separated by commas");
 ABSL_FLAG(std::string, caller, "", "identifier of the caller; the same one gives the same order of addresses");
 
 namespace jackdawdoor::cli {
@@ -37,14 +48,15 @@
 
 Command statusCommand()
 {
-    return {"status",
-            "",
-            "Prints the status of an instance as JSON.",
-            "0, 1 when the instance refuses, 2 for a faulty command line, 3 without an answer",
-            {{"instance", "operators' address of the instance, http://ip:port", true}},
-            [](const Arguments &, std::ostream &out, std::ostream &err) {
-                return runStatus(absl::GetFlag(FLAGS_instance), out, err);
-            }};
+    return {
+        "status",
+        "",
+        "Prints the status of an instance: contracts in force, members, services and upstreams.",
+        "0, 1 when the instance refuses, 2 for a faulty command line, 3 without an answer",
+        {{"instance", "operators' address of the instance, http://ip:port", true}, {"json", "print JSON in place of tables", false, false}},
+        [](const Arguments &, std::ostream &out, std::ostream &err) {
+            return runStatus(absl::GetFlag(FLAGS_instance), absl::GetFlag(FLAGS_json), out, err);
+        }};
 }
 
 Command placeCommand()
@@ -67,10 +79,81 @@
             }};
 }
 
-/** All commands. Those that read contracts and publish them are added here. */
+Command checkCommand()
+{
+    return {"check",
+            "FILE",
+            "Checks a contract. Prints each fault with line, key, reason and accepted range.",
+            "0 when the contract is accepted, 1 when it has faults, 2 for a faulty command line or an unreadable file",
+            {},
+            [](const Arguments &arguments, std::ostream &out, std::ostream &err) {
+                return runCheck(arguments.front(), out, err);
+            }};
+}
+
+Command explainCommand()
+{
+    return {"explain",
+            "FILE",
+            "Prints each value derived from a contract with its unit, its rule and the contract lines from which it follows.",
+            "0, 1 when the contract has faults, 2 for a faulty command line or an unreadable file",
+            {{"json", "print JSON in place of a table", false, false}},
+            [](const Arguments &arguments, std::ostream &out, std::ostream &err) {
+                return runExplain(arguments.front(), absl::GetFlag(FLAGS_json), out, err);
+            }};
+}
+
+/** Runs publish with its flags, or says why they do not fit together. */
+int publish(const Arguments &arguments, std::ostream &out, std::ostream &err)
+{
+    PublishOptions options;
+    options.file = arguments.empty() ? std::string{} : arguments.front();
+    options.deleteCustomer = absl::GetFlag(FLAGS_delete);
+    options.instanceUrl = absl::GetFlag(FLAGS_instance);
+    options.logUrl = absl::GetFlag(FLAGS_log);
+    const std::string fleet = absl::GetFlag(FLAGS_fleet);
+    for (const std::string_view url : net::splitTrimmed(fleet, ',')) {
+        if (!url.empty()) {
+            options.fleet.emplace_back(url);
+        }
+    }
+    constexpr std::uint64_t longestWait = 3600;
+    const auto wait = net::parseNumber(absl::GetFlag(FLAGS_wait));
+    if (!wait || *wait > longestWait) {
+        err << "--wait is not a number of seconds from 0 to 3600" << std::endl;
+        return Usage;
+    }
+    options.waitSeconds = static_cast<int>(*wait);
+    if (options.file.empty() == options.deleteCustomer.empty()) {
+        err << "expected either FILE or --delete=CUSTOMER" << std::endl;
+        return Usage;
+    }
+    if (options.waitSeconds > 0 && options.fleet.empty()) {
+        err << "--wait needs --fleet=URL,URL,..." << std::endl;
+        return Usage;
+    }
+    return runPublish(options, out, err);
+}
+
+Command publishCommand()
+{
+    return {"publish",
+            "[FILE]",
+            "Publishes a contract on the log, or deletes a customer's. Publishing again is safe: of all copies with the same base version "
+            "at most one is accepted.",
+            "0 accepted (with --wait: and in force on each instance), 1 rejected or a faulty contract, 2 a faulty command line or an "
+            "unreadable file, 3 unknown or no answer, 4 another publish came first, 5 accepted but not in force on each instance in time",
+            {{"instance", "operators' address of any instance, http://ip:port; it tells the version in force", true},
+             {"log", "base URL of the log service", true},
+             {"delete", "customer to delete, in place of FILE"},
+             {"wait", "seconds to wait until the change is in force on each instance of --fleet"},
+             {"fleet", "operators' addresses of the instances to wait for, http://ip:port,http://ip:port,..."}},
+            publish};
+}
+
 std::vector<Command> allCommands(const net::CoreFactory &makeCore)
 {
-    return {serveCommand(makeCore), statusCommand(), placeCommand()};
+    return {checkCommand(), explainCommand(), publishCommand(), statusCommand(), placeCommand(), serveCommand(makeCore)};
 }
 
 int runCommand(const Command &command, Arguments arguments, std::ostream &out, std::ostream &err)
@@ -92,8 +175,9 @@
     }
     const std::vector<char *> left = absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
     const Arguments positional(left.begin() + 1, left.end());
-    if (positional.empty() != command.arguments.empty()) {
-        err << (positional.empty() ? "an argument is missing" : "an argument is not expected") << "\n\n" << helpText(command);
+    const std::string surplus = argumentFault(command, positional);
+    if (!surplus.empty()) {
+        err << surplus << "\n\n" << helpText(command);
         return Usage;
     }
     return command.run(positional, out, err);
