--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -47,6 +47,15 @@
     exit 1
 }
 
+# forget PID: its process has ended, and the number may be given to another one.
+forget() {
+    local kept=() pid
+    for pid in "${pids[@]}"; do
+        [ "$pid" = "$1" ] || kept+=("$pid")
+    done
+    pids=("${kept[@]}")
+}
+
 standin_address() { echo "127.0.0.1:$(awk '{print $2}' "$folder/$1.out")"; }
 instance_address() { awk -v kind="$2" '{for (i = 1; i < NF; ++i) if ($i == kind) print $(i + 1)}' "$folder/$1.out"; }
 
@@ -152,12 +161,14 @@
 kill -TERM "$pid_entry_3"
 stopped=0
 wait "$pid_entry_3" || stopped=$?
+forget "$pid_entry_3"
 echo "entry-3 ended with exit code $stopped"
 start_instance entry-3
 write_list
 
 status=0
 wait "$callers" || status=$?
+forget "$callers"
 echo "== what callers saw"
 cat "$folder/callers.out" "$folder/callers.log"
 "$build/jackdawdoor" status --instance="http://$(instance_address entry-3 operators)" >"$folder/status.out"
