Make membership and placement cheap at 4,100 members

A trial at 4,100 members and 2,800 services took 1 us per ranked member and 137 us per placement answer on a busy machine, mostly copying ids. Rankings now sort weights with indices, and the table of members is scanned four times a second and only when something can expire.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -40,6 +40,8 @@
 constexpr Duration verificationTime = pingPeriod;
 /** Verifications under way at most, so that the loss of a whole data centre doesn't cause a burst of pings. */
 constexpr std::size_t maximumVerifications = 4;
+/** Time between two scans of the table for suspicions that end. Four scans a second are enough for timeouts of seconds. */
+constexpr Duration scanPeriod = std::chrono::milliseconds{250};
 /** Helpers are preferably members that answered this instance directly in this time: both ways to them work. */
 constexpr Duration recentlyAnswered = std::chrono::seconds{10};
 /** After a longer silence or pause the beliefs are too old to pass on; the instance synchronises anew. */
@@ -158,6 +160,7 @@
 
     std::optional<TimePoint> m_lastTick;
     TimePoint m_nextPeriod;
+    TimePoint m_nextScan;
     TimePoint m_lastHeard;
 };
 
--- a/src/membership/membershipprobes.cpp
+++ b/src/membership/membershipprobes.cpp
@@ -40,9 +40,12 @@
 
     MembershipMessages out;
     concludeProbes(now, out);
-    verifySuspects(now, out);
-    for (const MemberUpdate &rumour : m_table.expire(now)) {
-        m_rumours.add(rumour);
+    if (now >= m_nextScan) {
+        m_nextScan = now + scanPeriod;
+        verifySuspects(now, out);
+        for (const MemberUpdate &rumour : m_table.expire(now)) {
+            m_rumours.add(rumour);
+        }
     }
     if (now >= m_nextPeriod) {
         m_nextPeriod = std::max(m_nextPeriod + pingPeriod, now + pingPeriod / 2);
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -111,6 +111,8 @@
     }
     m_fleetSize += inFleet(state) ? 1 : 0;
     m_fleetSize -= inFleet(record.update.state) ? 1 : 0;
+    m_suspects += state == MemberState::Suspect ? 1 : 0;
+    m_suspects -= record.update.state == MemberState::Suspect ? 1 : 0;
     record.update.state = state;
     record.since = now;
     m_changed = true;
@@ -168,6 +170,9 @@
 std::vector<InstanceRef> MemberTable::suspectsToVerify(TimePoint now, Duration margin)
 {
     std::vector<InstanceRef> found;
+    if (m_suspects == 0) {
+        return found;
+    }
     const Duration timeout = suspicionTimeout(m_fleetSize);
     for (auto &[id, record] : m_records) {
         const bool due = record.update.state == MemberState::Suspect && now - record.since >= timeout - margin;
@@ -191,6 +196,10 @@
 std::vector<MemberUpdate> MemberTable::expire(TimePoint now)
 {
     std::vector<MemberUpdate> rumours;
+    // Nothing can expire while all members are live or leaving, which spares the usual tick a scan.
+    if (m_suspects == 0 && m_fleetSize == m_records.size() && m_forgotten.empty()) {
+        return rumours;
+    }
     const Duration timeout = suspicionTimeout(m_fleetSize);
     for (auto item = m_records.begin(); item != m_records.end();) {
         MemberRecord &record = item->second;
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -112,6 +112,7 @@
     std::map<InstanceId, MemberRecord> m_records;
     std::map<InstanceId, Forgotten> m_forgotten;
     std::size_t m_fleetSize = 1;
+    std::size_t m_suspects = 0;
     bool m_isolated = false;
     bool m_hasList = false;
     bool m_changed = true;
--- a/src/placement/placementtable.cpp
+++ b/src/placement/placementtable.cpp
@@ -105,18 +105,20 @@
 
 void PlacementTable::recompute(const ServiceId &service, Ranking &ranking) const
 {
-    std::vector<Ranked> all;
+    // Weights with indices, since copying 4,100 ids would cost more than hashing them.
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> all;
     all.reserve(m_eligible.size());
-    for (const InstanceId &id : m_eligible) {
-        all.push_back(Ranked{rendezvousWeight(service.value, id.value), id});
+    for (std::uint32_t index = 0; index < m_eligible.size(); ++index) {
+        all.emplace_back(rendezvousWeight(service.value, m_eligible[index].value), index);
     }
     const std::size_t kept = std::min(all.size(), ranking.wanted + spareRanks);
-    const auto order = [](const Ranked &left, const Ranked &right) {
-        return left.before(right);
-    };
-    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(kept), all.end(), order);
-    all.resize(kept);
-    ranking.top = std::move(all);
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(kept), all.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : left.second < right.second;
+    });
+    ranking.top.clear();
+    for (std::size_t rank = 0; rank < kept; ++rank) {
+        ranking.top.push_back(Ranked{all[rank].first, m_eligible[all[rank].second]});
+    }
 }
 
 const PlacementTable::Ranking &PlacementTable::ranking(const ServiceId &service, std::size_t count)
@@ -155,15 +157,18 @@
 
 const Member *PlacementTable::liveOther(std::string_view key, const InstanceId &except, const DataCentreId &preferred) const
 {
-    const auto best = [&](const std::vector<InstanceId> &candidates) {
-        std::optional<Ranked> first;
+    const auto best = [&](const std::vector<InstanceId> &candidates) -> const Member * {
+        const InstanceId *first = nullptr;
+        std::uint64_t largest = 0;
         for (const InstanceId &id : candidates) {
-            const Ranked ranked{rendezvousWeight(key, id.value), id};
-            if (id != except && (!first || ranked.before(*first))) {
-                first = ranked;
+            const std::uint64_t weight = rendezvousWeight(key, id.value);
+            // Candidates are sorted, so that the smaller id wins among equal weights.
+            if (id != except && (first == nullptr || weight > largest)) {
+                first = &id;
+                largest = weight;
             }
         }
-        return first ? m_view->find(first->id) : nullptr;
+        return first != nullptr ? m_view->find(*first) : nullptr;
     };
     const auto near = m_liveByDataCentre.find(preferred);
     const Member *found = near == m_liveByDataCentre.end() ? nullptr : best(near->second);
