--- a/src/health/graydetector.cpp
+++ b/src/health/graydetector.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-/** Failure rate of a gray upstream that the test looks for; lower ones are found too, but later. */
-constexpr double grayFailureRate = 0.5;
-/** Lower bound of the healthy failure rate: a service that never failed must not eject on its first two errors. */
-constexpr double smallestFailureRate = 0.005;
-constexpr double largestFailureRate = 0.9;
-/** Siblings that answered nothing for this long do not count: they do not show whether the service fails as a whole. */
-constexpr Duration recentTime = std::chrono::seconds{10};
 /** Evidence from which on an upstream is looked at more closely: one failure, or one clearly slow answer. */
 constexpr double suspicion = 0.5;
 /** Without a further bad answer for this long, ordinary work goes to a suspect again: where no request may serve as a
@@ -254,28 +247,6 @@
     state.lastExcess = 0;
 }
 
-double GrayDetector::grayRate(double healthyRate)
-{
-    return std::max(grayFailureRate, (1 + healthyRate) / 2);
-}
-
-double GrayDetector::healthyFailureRate(TimePoint now, std::size_t upstream) const
-{
-    std::vector<double> shares;
-    shares.reserve(m_upstreams.size());
-    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
-        if (index != upstream && m_upstreams[index].answered && now - m_upstreams[index].lastAnswer <= recentTime) {
-            shares.push_back(m_upstreams[index].failureShare);
-        }
-    }
-    if (shares.empty()) {
-        return smallestFailureRate;
-    }
-    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
-    std::nth_element(shares.begin(), middle, shares.end());
-    return std::clamp(*middle, smallestFailureRate, largestFailureRate);
-}
-
 bool GrayDetector::deservesCheck(TimePoint now, std::size_t upstream) const
 {
     const auto &state = m_upstreams[upstream];
--- a/src/limits/requestqueue.h
+++ b/src/limits/requestqueue.h
@@ -73,7 +73,10 @@
     struct Order {
         TimePoint deadline;
         std::uint64_t arrival = 0;
-        auto operator<=>(const Order &) const = default;
+        bool operator<(const Order &other) const
+        {
+            return deadline != other.deadline ? deadline < other.deadline : arrival < other.arrival;
+        }
     };
     struct Item {
         Order order;
--- a/src/limits/slotledger.cpp
+++ b/src/limits/slotledger.cpp
@@ -180,6 +180,7 @@
     }
     const auto reorder = [&former](std::vector<int> &values) {
         std::vector<int> reordered;
+        reordered.reserve(former.size());
         for (const auto &index : former) {
             reordered.push_back(index && *index < values.size() ? values[*index] : 0);
         }
--- a/src/routing/chooseupstream.cpp
+++ b/src/routing/chooseupstream.cpp
@@ -34,9 +34,10 @@
         if (m_request.idempotent && chooseRandom(m_trials, ChoiceReason::Trial)) {
             m_decision.kind = health::AttemptKind::Trial;
             m_decision.newConnection = true;
-        } else if (m_request.idempotent && chooseWorst(m_checks, ChoiceReason::Check)) {
-        } else if (chooseUnused() || chooseShorterWait()) {
-        } else {
+            return finish();
+        }
+        const bool checks = m_request.idempotent && chooseWorst(m_checks, ChoiceReason::Check);
+        if (!checks && !chooseUnused() && !chooseShorterWait()) {
             chooseLastResort();
         }
         return finish();
--- a/test/correctness/health_test.cpp
+++ b/test/correctness/health_test.cpp
@@ -190,8 +190,9 @@
     CHECK_MESSAGE(rc::check("floor against a naive count",
                             [](const std::vector<std::uint8_t> &raw, std::uint8_t rawFloor) {
                                 std::vector<health::FloorCandidate> candidates;
+                                candidates.reserve(raw.size());
                                 for (const auto value : raw) {
-                                    candidates.push_back({value % 4 != 0, value % 3 != 0, double(value / 16)});
+                                    candidates.push_back({value % 4 != 0, value % 3 != 0, double(value >> 4)});
                                 }
                                 const int floor = rawFloor % 12;
                                 const auto decision = health::FloorGuard{floor}.decide(candidates);
--- a/test/correctness/slots_test.cpp
+++ b/test/correctness/slots_test.cpp
@@ -301,6 +301,7 @@
     CHECK_MESSAGE(rc::check("max-min shares",
                             [](const std::vector<std::uint8_t> &raw, std::uint8_t rotation) {
                                 std::vector<int> wanted;
+                                wanted.reserve(raw.size());
                                 for (const auto value : raw) {
                                     wanted.push_back(value % 9);
                                 }
