--- a/src/health/graycontrast.cpp
+++ b/src/health/graycontrast.cpp
@@ -24,6 +24,9 @@
 /** Latest answers of all siblings that must be good. A fault of the service that begins just after a chance error of one
  * upstream would otherwise be contrasted with good answers from before it. */
 constexpr std::size_t decisiveAnswers = 2;
+/** Margins added to the threshold for slowness. Without them a day of noisy health with 200 requests/s over 25 upstreams
+ * ejected one healthy upstream during a hiccup of a second, which gives the more answers the higher the rate is. */
+constexpr double slownessMargins = 2;
 /** Up to this rate of answers the contrasts above hold; each e-fold more answers give e times as many chances to err. */
 constexpr double contrastRate = 30;
 
@@ -64,7 +67,8 @@
     }
     // Open connections can go silent while the upstream is well, so requests that hang on them count once at most.
     const double hanging = running.fresh + std::min(running.total - running.fresh, SlownessTest::largestStep);
-    if (state.slowness + hanging < m_policy.ejectionThreshold || presentSlowness(upstream) + hanging < m_policy.ejectionThreshold) {
+    const double threshold = m_policy.ejectionThreshold + slownessMargins * margin;
+    if (std::min(state.slowness, presentSlowness(upstream)) + hanging < threshold) {
         return false;
     }
     return contrast(now, upstream) >= contrastOfSlow + margin;
--- a/test/correctness/detection_test.cpp
+++ b/test/correctness/detection_test.cpp
@@ -131,8 +131,9 @@
     };
     service.onChange = [&ejections](TimePoint, std::size_t, const health::HealthChange &change) {
         ejections += change.change == "eject" ? 1 : 0;
-        if (change.change == "eject")
-            MESSAGE(change.reason);
+        if (change.change == "eject") {
+            MESSAGE("false ejection: " << change.reason);
+        }
     };
     service.runUntil(TimePoint{} + std::chrono::hours{24});
     return ejections;
