--- a/src/net/coredriver.cpp
+++ b/src/net/coredriver.cpp
@@ -154,7 +154,8 @@
         found->second.finished = true;
         const auto request = m_requests.find(found->second.request);
         const bool open = request != m_requests.end();
-        m_tasks.metrics.countAttempt(open ? request->second.head.service.value : "", attemptEndName(report.end));
+        const std::string service = open ? request->second.head.service.value : std::string{};
+        m_tasks.metrics.countAttempt(service.substr(0, service.find('/')), attemptEndName(report.end));
         if (!open) {
             m_attempts.erase(found);
         }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -13,9 +13,9 @@
     for pid in "${pids[@]}"; do
         kill -TERM "$pid" 2>/dev/null || true
     done
-    # An instance finishes its requests first; one that hangs is ended after 5 s, so that the demo always ends.
+    # The last instance waits 10 s for a witness that could take its keys. One that hangs is ended, so that the demo ends.
     for pid in "${pids[@]}"; do
-        for _ in $(seq 50); do
+        for _ in $(seq 120); do
             kill -0 "$pid" 2>/dev/null || break
             sleep 0.1
         done
