--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -142,12 +142,12 @@
     }
 }
 
-void VirtualFleet::request(std::size_t index, core::CallerRequest request, AnswerHandler handler)
+core::RequestId VirtualFleet::request(std::size_t index, core::CallerRequest request, AnswerHandler handler)
 {
     Node &node = m_nodes[index];
     if (!node.up) {
         handler({});
-        return;
+        return 0;
     }
     request.id = m_nextRequest++;
     Pending pending;
@@ -160,6 +160,22 @@
     input(index, node.generation, [this, request](core::Instance &core) {
         return core.onRequest(events.now(), request);
     });
+    return request.id;
+}
+
+void VirtualFleet::abandon(std::size_t index, core::RequestId request)
+{
+    Node &node = m_nodes[index];
+    if (node.pending.erase(request) > 0) {
+        input(index, node.generation, [this, request](core::Instance &core) {
+            return core.onCallerGone(events.now(), request);
+        });
+    }
+}
+
+void VirtualFleet::silenceConnections(std::size_t instance, const UpstreamId &upstream, int connections)
+{
+    m_deadConnections[{instance, upstream}] = connections;
 }
 
 void VirtualFleet::queryOutcome(std::size_t index, const std::string &key, AnswerHandler handler)
@@ -290,6 +306,11 @@
     return m_nodes.size();
 }
 
+Incarnation VirtualFleet::incarnation(std::size_t index) const
+{
+    return m_nodes[index].member.ref.incarnation;
+}
+
 core::Instance &VirtualFleet::core(std::size_t index)
 {
     return *m_nodes[index].core;
--- a/bench/fakes/virtualfleet.h
+++ b/bench/fakes/virtualfleet.h
@@ -63,8 +63,14 @@
     /** Advances virtual time. */
     void run(Duration duration);
 
-    /** Sends a request to an instance; the handler is called once. */
-    void request(std::size_t instance, core::CallerRequest request, AnswerHandler handler);
+    /** Sends a request to an instance; the handler is called once, at once with Lost when the instance is down. */
+    core::RequestId request(std::size_t instance, core::CallerRequest request, AnswerHandler handler);
+
+    /** The caller closes its connection: its handler is dropped and the instance is told. */
+    void abandon(std::size_t instance, core::RequestId request);
+
+    /** Open connections of an instance to an upstream go silent for good; new ones work. */
+    void silenceConnections(std::size_t instance, const UpstreamId &upstream, int connections);
 
     /** Asks an instance for the outcome of a key. */
     void queryOutcome(std::size_t instance, const std::string &key, AnswerHandler handler);
@@ -89,6 +95,7 @@
     bool isUp(std::size_t instance) const;
     bool stopFinished(std::size_t instance) const;
     std::size_t size() const;
+    Incarnation incarnation(std::size_t instance) const;
     core::Instance &core(std::size_t instance);
     TimePoint now() const;
 
@@ -158,6 +165,7 @@
                     core::AttemptId attempt,
                     const UpstreamId &upstream,
                     const UpstreamAnswer &answer);
+    bool takesDeadConnection(std::size_t index, const core::DispatchAttempt &effect);
     void orphan(const UpstreamId &upstream, const UpstreamAnswer &answer);
     void sendHead(std::size_t index, std::uint64_t generation, core::AttemptId attempt, const UpstreamAnswer &answer);
     void endAttempt(std::size_t index, std::uint64_t generation, core::AttemptId attempt, core::AttemptEnd end);
@@ -174,6 +182,8 @@
     std::map<InstanceId, std::size_t> m_byId;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::pair<std::size_t, UpstreamId>> m_upstreamCuts;
+    std::map<std::pair<std::size_t, UpstreamId>, int> m_deadConnections; ///< open connections that are silent for good
+    std::map<std::pair<std::size_t, UpstreamId>, TimePoint> m_lastAnswer; ///< age of the newest proof of an open connection
     core::RequestId m_nextRequest = 1;
     Incarnation m_nextIncarnation = 1000;
 };
--- a/bench/fakes/virtualfleeteffects.cpp
+++ b/bench/fakes/virtualfleeteffects.cpp
@@ -27,7 +27,7 @@
     node.attempts[effect.attempt] = std::move(attempt);
     const std::uint64_t generation = node.generation;
     const core::AttemptId id = effect.attempt;
-    if (m_upstreamCuts.count({index, effect.upstream}) > 0) {
+    if (m_upstreamCuts.count({index, effect.upstream}) > 0 || takesDeadConnection(index, effect)) {
         events.after(effect.attemptTimeout, [this, index, generation, id] {
             endAttempt(index, generation, id, core::AttemptEnd::Timeout);
         });
@@ -47,6 +47,18 @@
     });
 }
 
+bool VirtualFleet::takesDeadConnection(std::size_t index, const core::DispatchAttempt &effect)
+{
+    const auto dead = m_deadConnections.find({index, effect.upstream});
+    const auto proof = m_lastAnswer.find({index, effect.upstream});
+    const bool reuses = proof != m_lastAnswer.end() && events.now() - proof->second <= effect.maximumSilence;
+    if (dead == m_deadConnections.end() || dead->second == 0 || !reuses) {
+        return false;
+    }
+    --dead->second;
+    return true;
+}
+
 void VirtualFleet::onAccepted(std::size_t index,
                               std::uint64_t generation,
                               core::AttemptId id,
@@ -90,6 +102,7 @@
 
 void VirtualFleet::sendHead(std::size_t index, std::uint64_t generation, core::AttemptId id, const UpstreamAnswer &answer)
 {
+    m_lastAnswer[{index, m_nodes[index].attempts.contains(id) ? m_nodes[index].attempts.at(id).upstream : UpstreamId{}}] = events.now();
     core::AnswerHead head;
     head.attempt = id;
     head.status = answer.status;
--- /dev/null
+++ b/bench/naive/naiveinstance.h
@@ -0,0 +1,43 @@
+/** State of one instance under the naive policy. */
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "core/callerrequest.h"
+#include "fakes/virtualfleet.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::naive {
+
+/** What an instance knows of an upstream. */
+struct NaiveUpstream {
+    int errorsInRow = 0;
+    int running = 0;
+    TimePoint ejectedUntil;
+};
+
+/** A request while the instance works on it. */
+struct NaiveRequest {
+    core::CallerRequest request;
+    const contract::ServicePolicy *service = nullptr;
+    const contract::OperationPolicy *operation = nullptr;
+    fakes::VirtualFleet::AnswerHandler handler;
+    TimePoint arrived;
+    int attempts = 0;
+    bool mayHaveRun = false;
+};
+
+/** One instance. */
+struct NaiveInstance {
+    std::map<UpstreamId, NaiveUpstream> upstreams;
+    std::map<core::RequestId, NaiveRequest> requests;
+    std::map<std::string, fakes::CallerAnswer> answers; ///< by key
+    std::uint64_t generation = 0;
+    TimePoint pausedUntil;
+    bool up = true;
+};
+
+} // namespace jackdawdoor::naive
