Keep keyed refusals honest and keys from getting stuck before their dispatch

Cause: a refusal before the key was looked up (no contract yet, paused, superseded) said 'not run' about the copy at hand, although an earlier copy of the key may have run; callers then submitted again under a new ticket. And a Ready key that was not dispatched (caller gone, queue refusal) stayed Ready, because recordNotRun only took Running keys: every resend waited for a run that never started, and a planned stop could not hand over. Change: such refusals say 'unknown' for non-idempotent requests with a key; recordNotRun takes Ready keys too; a queue that has served nothing yet does not multiply the pause by the requests ahead, since the first leases serve many at once. The tests of it are written but were not run at this commit.

--- a/bench/fakes/virtualfleet.h
+++ b/bench/fakes/virtualfleet.h
@@ -109,6 +109,8 @@
     DecisionHandler onDecision;
     std::uint64_t controlMessages = 0;
     std::uint64_t controlBytes = 0;
+    std::vector<std::uint64_t> controlBytesByKind =
+        std::vector<std::uint64_t>(std::variant_size_v<core::PeerMessage>); ///< by index in PeerMessage
     std::uint64_t attempts = 0;
     bool listIsUp = true;
 
--- a/bench/fakes/virtualfleeteffects.cpp
+++ b/bench/fakes/virtualfleeteffects.cpp
@@ -249,6 +249,7 @@
     const std::string bytes = core::encodePeerMessage(effect.message);
     ++controlMessages;
     controlBytes += bytes.size();
+    controlBytesByKind[effect.message.index()] += bytes.size();
     const std::size_t peer = indexOf(effect.peer.id);
     if (peer >= m_nodes.size() || !reaches(index, peer) || uniform(random) < network.lossShare) {
         return;
--- a/bench/measure/measurement.cpp
+++ b/bench/measure/measurement.cpp
@@ -145,6 +145,13 @@
             line("upstream crashes", std::to_string(m.crashes) + ", at most " + std::to_string(m.crashesPerRequest) + " by one request");
     }
     text += line("control bytes/s", number(m.controlBytesPerSecond), missed(m.controlBytesPerSecond, m.controlTarget));
+    if (!m.controlBytesByKind.empty()) {
+        std::string kinds;
+        for (const double bytes : m.controlBytesByKind) {
+            kinds += (kinds.empty() ? "" : ", ") + number(bytes);
+        }
+        text += line("  by kind of message", kinds);
+    }
     if (!m.inForceSeconds.empty() || m.notInForce > 0) {
         const bool late = missed(percentile(m.inForceSeconds, 0.99), m.inForceTarget) || m.notInForce > 0;
         text += line("time to in force", spread(m.inForceSeconds) + ", missing " + std::to_string(m.notInForce), late);
--- a/bench/measure/measurement.h
+++ b/bench/measure/measurement.h
@@ -48,6 +48,7 @@
     std::uint64_t attempts = 0;
     double amplificationTarget = 0;
     double controlBytesPerSecond = 0; ///< per instance
+    std::vector<double> controlBytesByKind; ///< per second and instance, in the order of core::PeerMessage
     double controlTarget = 0;
 
     std::vector<double> inForceSeconds;
--- a/bench/measure/world.cpp
+++ b/bench/measure/world.cpp
@@ -81,6 +81,13 @@
     const double seconds = toSeconds(m_fleet->events().now() - m_began);
     m_measurement.controlBytesPerSecond =
         static_cast<double>(m_fleet->controlBytes() - m_controlBytesBefore) / seconds / static_cast<double>(m_fleet->size());
+    if (m_fleet->product() != nullptr) {
+        for (const std::uint64_t bytes : m_fleet->product()->controlBytesByKind) {
+            m_measurement.controlBytesByKind.push_back(static_cast<double>(bytes)
+                                                       / toSeconds(m_fleet->events().now().time_since_epoch() - std::chrono::hours{1})
+                                                       / static_cast<double>(m_fleet->size()));
+        }
+    }
     for (auto &[upstream, watch] : m_watches) {
         record(watch);
     }
--- a/src/core/instance.cpp
+++ b/src/core/instance.cpp
@@ -28,6 +28,17 @@
     return "unknown";
 }
 
+/** Weakens a refusal of this copy of a keyed request: an earlier copy may have run through another instance, or before
+ * this one was paused, so that "not run" would be false for the key. */
+void weakenForKey(const PreparedRequest &prepared, Refusal &refusal)
+{
+    const bool repeatable = prepared.operation != nullptr && prepared.operation->idempotent;
+    if (!prepared.request.key.empty() && !repeatable) {
+        refusal.disposition = Disposition::Unknown;
+        refusal.reason += "; an earlier copy with this key may have run";
+    }
+}
+
 Refusal stoppingRefusal()
 {
     return {503, Disposition::NotRun, RefusalStage::Stopping, true, Duration{0}, "the instance is stopping; use another address"};
@@ -152,6 +163,7 @@
 {
     PreparedRequest prepared;
     if (std::optional<Refusal> refusal = prepare(now, request, prepared)) {
+        weakenForKey(prepared, *refusal);
         m_requests.refuse(now, prepared, std::move(*refusal));
     } else if (!prepared.operation->idempotent && !request.key.empty()) {
         m_keys.onRequest(now, std::move(prepared));
--- a/src/idempotency/homekeys.cpp
+++ b/src/idempotency/homekeys.cpp
@@ -183,7 +183,8 @@
     advance(now);
     HomeStep step;
     HomeEntry *entry = find(key);
-    if (entry != nullptr && entry->state == KeyState::Running) {
+    // A Ready key was never dispatched, or only in attempts that provably did not run.
+    if (entry != nullptr && (entry->state == KeyState::Running || entry->state == KeyState::Ready)) {
         if (next == NotRunNext::RetryNow) {
             setState(*entry, KeyState::Ready);
         } else if (next == NotRunNext::LeaveOpen && !m_stopping) {
--- a/src/idempotency/homekeys.h
+++ b/src/idempotency/homekeys.h
@@ -133,7 +133,7 @@
     /** A Ready key is given up before its dispatch, and its caller is told "not run". */
     HomeStep giveUpDispatch(TimePoint now, const std::string &key);
 
-    /** The attempt of a Running key provably did not run. */
+    /** The attempt of a Running key provably did not run, or a Ready key was not dispatched. */
     HomeStep recordNotRun(TimePoint now, const std::string &key, NotRunNext next);
 
     /** Answers an outcome query. A key that has not been admitted or is Idle is closed, so "not run" is certain. */
--- a/src/limits/requestqueue.cpp
+++ b/src/limits/requestqueue.cpp
@@ -152,11 +152,12 @@
 
 Duration RequestQueue::waitFor(TimePoint now, std::size_t requestsAhead) const
 {
-    double perRequest = m_secondsPerRequest;
-    if (!m_byId.empty() && m_lastServed) {
-        perRequest = std::max(perRequest, toSeconds(now - *m_lastServed) / unusualPause);
+    const double pause = !m_byId.empty() && m_lastServed ? toSeconds(now - *m_lastServed) / unusualPause : 0;
+    if (m_secondsPerRequest == 0) {
+        // Nothing was served while others waited: the first leases are awaited, which serve many requests at once.
+        return fromSeconds(pause);
     }
-    return fromSeconds(perRequest * static_cast<double>(requestsAhead + 1));
+    return fromSeconds(std::max(m_secondsPerRequest, pause) * static_cast<double>(requestsAhead + 1));
 }
 
 std::optional<std::uint64_t> RequestQueue::displaceFor(const QueuedRequest &request)
--- /dev/null
+++ b/test/correctness/keycertainty_test.cpp
@@ -0,0 +1,50 @@
+/** What the whole core says about idempotency keys must hold for every copy of the request. */
+#include "publishedfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdawdoor;
+using fakes::CallerAnswer;
+using test::PublishedFleet;
+
+TEST_CASE("a resend runs when the caller of the first copy left before the witness had confirmed")
+{
+    // Guards against a key that stays permitted but undispatched: every resend would wait for a run that never starts.
+    PublishedFleet published(6);
+    published.fleet.run(std::chrono::seconds{3});
+    std::size_t home = 0;
+    const core::CallerRequest order = published.order("caller-1", home);
+    const core::RequestId first = published.fleet.request(home, order, [](const CallerAnswer &) {});
+    published.fleet.abandon(home, first);
+    published.fleet.run(std::chrono::milliseconds{100});
+    CallerAnswer result;
+    published.fleet.request(home, order, [&result](const CallerAnswer &answer) {
+        result = answer;
+    });
+    published.fleet.run(std::chrono::seconds{20});
+    CHECK_MESSAGE(result.kind == CallerAnswer::Kind::Answered, "the resend was not answered: ", result.refusal.reason);
+    CHECK_MESSAGE(published.fleet.runs[order.key] == 1, "the order did not run exactly once");
+}
+
+TEST_CASE("an instance without a contract does not call a key not run that has run elsewhere")
+{
+    // Guards against a caller that orders again under a new key because an instance judged only the copy before it.
+    PublishedFleet published(6);
+    published.fleet.run(std::chrono::seconds{3});
+    std::size_t home = 0;
+    const core::CallerRequest order = published.order("caller-1", home);
+    published.fleet.request(home, order, [](const CallerAnswer &) {});
+    published.fleet.run(std::chrono::seconds{1});
+    REQUIRE_MESSAGE(published.fleet.runs[order.key] == 1, "the order did not run");
+    const std::size_t other = (home + 1) % published.fleet.size();
+    published.fleet.log.down = true;
+    published.fleet.crash(other);
+    published.fleet.restart(other);
+    CallerAnswer result;
+    published.fleet.request(other, order, [&result](const CallerAnswer &answer) {
+        result = answer;
+    });
+    published.fleet.run(std::chrono::seconds{5});
+    const bool saidNotRun = result.kind == CallerAnswer::Kind::Refused && result.refusal.disposition == core::Disposition::NotRun;
+    CHECK_MESSAGE(!saidNotRun, "the order ran, and a resend was told that it did not: ", result.refusal.reason);
+}
