Hand acknowledged outcome updates to the home's key table

Cause: KeyFlow did not count Updated among the messages for the home, so that the acknowledgement was dropped and each stored answer was sent to the witness four times.

--- a/src/core/keyflow.cpp
+++ b/src/core/keyflow.cpp
@@ -267,7 +267,8 @@
 {
     const IdempotencyKey *key = keyOf(message);
     const bool forHome = std::holds_alternative<Recorded>(message) || std::holds_alternative<Refused>(message)
-                         || std::holds_alternative<HandoverConfirmed>(message) || std::holds_alternative<Reply>(message)
+                         || std::holds_alternative<Updated>(message) || std::holds_alternative<HandoverConfirmed>(message)
+                         || std::holds_alternative<Reply>(message)
                          || (std::holds_alternative<Query>(message) && !m_witness.keyIsMine(*key));
     if (forHome) {
         applyStep(now, m_home.onMessage(now, from, message));
--- a/test/correctness/keycertainty_test.cpp
+++ b/test/correctness/keycertainty_test.cpp
@@ -48,3 +48,20 @@
     const bool saidNotRun = result.kind == CallerAnswer::Kind::Refused && result.refusal.disposition == core::Disposition::NotRun;
     CHECK_MESSAGE(!saidNotRun, "the order ran, and a resend was told that it did not: ", result.refusal.reason);
 }
+
+TEST_CASE("an outcome that the witness acknowledged is not sent to it again")
+{
+    // Guards against acknowledgements that do not reach the home's table: each stored answer was then sent four times.
+    PublishedFleet published(6);
+    published.fleet.run(std::chrono::seconds{3});
+    std::size_t home = 0;
+    const core::CallerRequest order = published.order("caller-1", home);
+    constexpr std::size_t keyMessages = 2; // index of IdempotencyMessage in PeerMessage
+    const std::uint64_t before = published.fleet.controlBytesByKind[keyMessages];
+    published.fleet.request(home, order, [](const CallerAnswer &) {});
+    published.fleet.run(std::chrono::seconds{10});
+    REQUIRE_MESSAGE(published.fleet.runs[order.key] == 1, "the order did not run");
+    constexpr std::uint64_t storedAnswerBytes = 2048;
+    const std::uint64_t sent = published.fleet.controlBytesByKind[keyMessages] - before;
+    CHECK_MESSAGE(sent < 2 * storedAnswerBytes, "the stored answer was sent more than once: ", sent, " bytes");
+}
