--- a/bench/measure/measurement.cpp
+++ b/bench/measure/measurement.cpp
@@ -54,6 +54,13 @@
     }
 }
 
+void Measurement::addMistake(const std::string &trace)
+{
+    if (mistakes.size() < keptTraces) {
+        mistakes.push_back(trace);
+    }
+}
+
 void Measurement::merge(const Measurement &other)
 {
     runs += other.runs;
@@ -157,6 +164,9 @@
         text += line("time to in force", spread(m.inForceSeconds) + ", missing " + std::to_string(m.notInForce), late);
     }
     text += line("version reverts", m.versionReverts, m.versionReverts > 0);
+    for (const std::string &trace : m.mistakes) {
+        text += "  false ejection: " + trace + "\n";
+    }
     for (const std::string &trace : m.broken) {
         text += "  BROKEN " + trace + "\n";
     }
--- a/bench/measure/measurement.h
+++ b/bench/measure/measurement.h
@@ -56,11 +56,15 @@
     std::uint64_t notInForce = 0; ///< instances without the accepted version at the end
     std::uint64_t versionReverts = 0;
 
+    std::vector<std::string> mistakes; ///< traces of false ejections, the first few
     std::vector<std::string> broken; ///< traces of broken invariants, the first few
 
     /** Notes the trace of a broken invariant. */
     void addTrace(const std::string &trace);
 
+    /** Notes the trace of a false ejection. */
+    void addMistake(const std::string &trace);
+
     /** Adds the counts of another run of the same scenario. */
     void merge(const Measurement &other);
 
--- a/bench/measure/world.cpp
+++ b/bench/measure/world.cpp
@@ -179,6 +179,8 @@
     const bool isRight = (impaired != m_impairedUntil.end() && now <= impaired->second) || (cut != m_cutUntil.end() && now <= cut->second);
     if (!isRight) {
         ++m_measurement.falseEjections;
+        m_measurement.addMistake("entry-" + std::to_string(event.instance) + " " + event.upstream.value + " at "
+                                 + std::to_string(toSeconds(now - m_began)) + ": " + event.reason);
     }
 }
 
