--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,12 @@
 
 lint: build
 	./tools/check-lint.sh $(BUILD)
+
+# All scenarios of both policies and deployments, then fault schedules; fails when the product breaks an invariant.
+SEEDS ?= 1..300
+measure: build
+	-./$(BUILD)/jackdawdoor-measure --all --policy naive --deployment ayudas --seed 1
+	-./$(BUILD)/jackdawdoor-measure --all --policy naive --deployment quetzal --seed 1
+	./$(BUILD)/jackdawdoor-measure --all --policy product --deployment ayudas --seed 1
+	./$(BUILD)/jackdawdoor-measure --all --policy product --deployment quetzal --seed 1
+	./$(BUILD)/jackdawdoor-measure --scenario chaos --seeds $(SEEDS) --threads 4
