--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -166,11 +166,15 @@
 void VirtualFleet::abandon(std::size_t index, core::RequestId request)
 {
     Node &node = m_nodes[index];
-    if (node.pending.erase(request) > 0) {
-        input(index, node.generation, [this, request](core::Instance &core) {
-            return core.onCallerGone(events.now(), request);
-        });
+    const auto pending = node.pending.find(request);
+    if (pending == node.pending.end()) {
+        return;
     }
+    // The request itself is kept: the core may still dispatch it, and its run must be counted under its key.
+    pending->second.handler = [](const CallerAnswer &) {};
+    input(index, node.generation, [this, request](core::Instance &core) {
+        return core.onCallerGone(events.now(), request);
+    });
 }
 
 void VirtualFleet::silenceConnections(std::size_t instance, const UpstreamId &upstream, int connections)
