--- a/bench/measure/measurement.cpp
+++ b/bench/measure/measurement.cpp
@@ -70,7 +70,7 @@
     controlBytesPerSecond += (other.controlBytesPerSecond - controlBytesPerSecond) * static_cast<double>(other.runs) / total;
     floorMargin = std::min(floorMargin, other.floorMargin);
     peakRunning = std::max(peakRunning, other.peakRunning);
-    crashesPerRequest = std::max(crashesPerRequest, other.crashesPerRequest);
+    requestsOfDeath += other.requestsOfDeath;
     for (std::uint64_t Measurement::*count : {&Measurement::undetected,
                                               &Measurement::falseEjections,
                                               &Measurement::floorViolations,
@@ -148,8 +148,7 @@
     text += line("peak at one upstream", std::to_string(m.peakRunning) + " of " + std::to_string(m.slots) + " slots");
     text += line("retry amplification", number(m.amplification()), missed(m.amplification(), m.amplificationTarget));
     if (m.crashes > 0) {
-        text +=
-            line("upstream crashes", std::to_string(m.crashes) + ", at most " + std::to_string(m.crashesPerRequest) + " by one request");
+        text += line("upstream crashes", std::to_string(m.crashes) + " by " + std::to_string(m.requestsOfDeath) + " requests of death");
     }
     text += line("control bytes/s", number(m.controlBytesPerSecond), missed(m.controlBytesPerSecond, m.controlTarget));
     if (!m.controlBytesByKind.empty()) {
@@ -205,7 +204,7 @@
                                      {"slots", m.slots},
                                      {"amplification", m.amplification()},
                                      {"upstream_crashes", m.crashes},
-                                     {"crashes_per_request", m.crashesPerRequest},
+                                     {"requests_of_death", m.requestsOfDeath},
                                      {"control_bytes_per_second", m.controlBytesPerSecond},
                                      {"in_force_p99", percentile(m.inForceSeconds, 0.99)},
                                      {"in_force_max", percentile(m.inForceSeconds, 1)},
--- a/bench/measure/measurement.h
+++ b/bench/measure/measurement.h
@@ -33,7 +33,7 @@
     std::uint64_t honestUnknowns = 0;
     std::uint64_t abandonedNotRun = 0; ///< submissions given up by the caller, each attempt certainly not run
     std::uint64_t crashes = 0; ///< of upstreams, by requests of death
-    std::uint64_t crashesPerRequest = 0; ///< most crashes that one request of death caused
+    std::uint64_t requestsOfDeath = 0; ///< requests that crash each upstream that runs them
 
     std::uint64_t reads = 0;
     std::uint64_t refused = 0;
--- a/bench/measure/world.cpp
+++ b/bench/measure/world.cpp
@@ -117,6 +117,7 @@
         m_measurement.peakRunning = std::max(m_measurement.peakRunning, upstream.peakRunning);
         m_measurement.crashes += upstream.crashes;
     }
+    m_measurement.requestsOfDeath = m_fleet->crashers().size();
     m_measurement.originals = m_routed.size();
     return m_measurement;
 }
