Find the crashed attempt among the requests in flight

Cause: onAttemptFinished moved the attempt out of the table before onCrash() compared the upstreams in it; the moved-from identifier was empty, so that the request that crashed an upstream was never suspected and no notice was sent.

--- a/bench/measure/upstreamscripts.cpp
+++ b/bench/measure/upstreamscripts.cpp
@@ -64,7 +64,9 @@
 void wrongAnswer(World &world)
 {
     fakes::UpstreamBehaviour behaviour;
-    behaviour.wrongShare = 1;
+    const contract::WrongAnswerRule &rule = world.busiestService().operations.front().wrongAnswer;
+    // A contract without a freshness rule cannot tell stale answers; there, bodies that end early are wrong.
+    (rule.freshnessHeader.empty() ? behaviour.shortShare : behaviour.wrongShare) = 1;
     oneAfterTheOther(world, behaviour);
 }
 
--- a/src/core/requestflowanswers.cpp
+++ b/src/core/requestflowanswers.cpp
@@ -169,7 +169,7 @@
     if (found == m_attempts.end()) {
         return;
     }
-    Attempt attempt = std::move(found->second);
+    Attempt attempt = found->second; // onCrash() finds it among the attempts in flight
     ServiceState *service = m_services.find(attempt.service);
     bool countsAgainstUpstream = true;
     if (report.end == AttemptEnd::Reset && service != nullptr) {
--- a/test/correctness/keycertainty_test.cpp
+++ b/test/correctness/keycertainty_test.cpp
@@ -65,3 +65,27 @@
     const std::uint64_t sent = published.fleet.controlBytesByKind[keyMessages] - before;
     CHECK_MESSAGE(sent < 2 * storedAnswerBytes, "the stored answer was sent more than once: ", sent, " bytes");
 }
+
+TEST_CASE("a request that crashes upstreams is refused on every instance after two of them")
+{
+    // Guards against a crash whose own request is missing among those in flight: nothing was ever suspected then.
+    PublishedFleet published(6);
+    published.fleet.run(std::chrono::seconds{3});
+    constexpr int submissions = 8;
+    published.fleet.crashers.insert(7); // fingerprint of the order
+    int crashSuspects = 0;
+    for (int number = 0; number < submissions; ++number) {
+        std::size_t home = 0;
+        const core::CallerRequest order = published.order("caller-" + std::to_string(number), home);
+        published.fleet.request(home, order, [&crashSuspects](const CallerAnswer &answer) {
+            crashSuspects += answer.refusal.stage == core::RefusalStage::CrashSuspect ? 1 : 0;
+        });
+        published.fleet.run(std::chrono::seconds{3}); // longer than an upstream needs to start again
+    }
+    std::uint64_t crashes = 0;
+    for (const auto &[id, upstream] : published.fleet.upstreams) {
+        crashes += upstream.crashes;
+    }
+    CHECK_MESSAGE(crashes == 2, "the request crashed ", crashes, " upstreams");
+    CHECK_MESSAGE(crashSuspects == submissions - 2, "later copies were not refused as crash suspects: ", crashSuspects);
+}
