--- a/test/standins/callers_main.cpp
+++ b/test/standins/callers_main.cpp
@@ -109,6 +109,7 @@
     Callers callers(plan);
     {
         std::vector<std::jthread> watchers;
+        watchers.reserve(grays.size());
         for (Gray &gray : grays) {
             watchers.emplace_back([&gray] {
                 watch(gray);
