--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 	./$(BUILD)/jackdawdoor-measure --all --policy product --deployment quetzal --seed 1
 	./$(BUILD)/jackdawdoor-measure --scenario chaos --seeds $(SEEDS) --threads 4
 
+bench-capacity: build
+	./$(BUILD)/capacity-benchmark
+
+bench-latency: build
+	./$(BUILD)/latency-benchmark
+
 sanitize: deps
 	cmake -S . -B build-sanitize -G Ninja -DJACKDAWDOOR_SANITIZE=ON
 	cmake --build build-sanitize -j $(JOBS)
--- a/src/health/evidencereport.h
+++ b/src/health/evidencereport.h
@@ -17,7 +17,7 @@
 /** Evidence about one upstream. */
 struct UpstreamEvidence {
     std::uint32_t upstream = 0; ///< index in ServicePolicy::upstreams
-    double score = 0; ///< larger of the two cumulated log-likelihood ratios
+    double score = 0; ///< cumulated log-likelihood ratio, 0 while the holder's siblings are as bad
     double severity = 0; ///< how bad the upstream is; orders upstreams when the floor binds
     std::uint32_t good = 0; ///< good answers since the last report
     std::uint32_t bad = 0; ///< failed and slow answers since the last report
--- a/src/health/fleethealth.cpp
+++ b/src/health/fleethealth.cpp
@@ -144,9 +144,9 @@
     return m_bound;
 }
 
-bool FleetHealth::isStrong(const UpstreamEvidence &evidence) const
+bool FleetHealth::isStrong(const UpstreamEvidence &evidence)
 {
-    return evidence.ejectedHere || evidence.score >= m_policy.health.ejectionThreshold;
+    return evidence.ejectedHere;
 }
 
 void FleetHealth::considerEjection(Entry &entry)
@@ -251,7 +251,7 @@
 
 std::optional<InstanceId> FleetHealth::chooseOpinion(TimePoint now, Entry &entry)
 {
-    const auto accuser = std::find_if(entry.reports.begin(), entry.reports.end(), [this](const auto &item) {
+    const auto accuser = std::find_if(entry.reports.begin(), entry.reports.end(), [](const auto &item) {
         return isStrong(item.second.evidence);
     });
     if (accuser == entry.reports.end() || m_holders.size() < 2) {
--- a/src/health/fleethealth.h
+++ b/src/health/fleethealth.h
@@ -56,7 +56,7 @@
         bool unavailable = false;
     };
 
-    bool isStrong(const UpstreamEvidence &evidence) const;
+    static bool isStrong(const UpstreamEvidence &evidence);
     void considerEjection(Entry &entry);
     void adoptEjection(TimePoint now, Entry &entry, const UpstreamEvidence &evidence);
     void mergeTrials(TimePoint now, Entry &entry, const InstanceId &instance, const UpstreamEvidence &evidence);
--- a/src/health/graycontrast.cpp
+++ b/src/health/graycontrast.cpp
@@ -29,6 +29,8 @@
 constexpr double slownessMargins = 2;
 /** Up to this rate of answers the contrasts above hold; each e-fold more answers give e times as many chances to err. */
 constexpr double contrastRate = 30;
+/** Part of the contrast that supports another instance's evidence, as half of the threshold does for the score. */
+constexpr double partOfContrast = 0.5;
 
 } // namespace
 
@@ -74,6 +76,18 @@
     return contrast(now, upstream) >= contrastOfSlow + margin;
 }
 
+double GrayDetector::corroboration(TimePoint now, std::size_t upstream) const
+{
+    const auto &state = m_upstreams[upstream];
+    const auto running = inProgressEvidence(now, upstream);
+    const double slowness = std::min(state.slowness, presentSlowness(upstream)) + running.fresh;
+    const double needed = state.errors >= slowness ? contrastOfFailing : contrastOfSlow;
+    if (contrast(now, upstream) < needed * partOfContrast) {
+        return 0;
+    }
+    return std::max(state.errors, slowness);
+}
+
 double GrayDetector::presentSlowness(std::size_t upstream) const
 {
     // The score was gathered against earlier baselines. When the whole service becomes slow, the baseline follows within
--- a/src/health/graydetector.h
+++ b/src/health/graydetector.h
@@ -63,6 +63,13 @@
     /** There is enough evidence to eject the upstream, and its siblings are well. */
     bool isGray(TimePoint now, std::size_t upstream) const;
 
+    /** Evidence that another instance may rely on: 0 unless the upstream also differs from its siblings here.
+     *
+     * When a whole service becomes slow, the scores of all its upstreams grow until the baseline has followed. Two
+     * instances that report them would agree on a fault that neither of them would eject for.
+     */
+    double corroboration(TimePoint now, std::size_t upstream) const;
+
     /** Only the connections used so far are in doubt: the next attempt should open a new one. */
     bool needsNewConnection(TimePoint now, std::size_t upstream) const;
 
--- a/src/health/localhealthmessages.cpp
+++ b/src/health/localhealthmessages.cpp
@@ -27,7 +27,7 @@
         if (ejected || entry.wantsEjection || now < entry.opinionUntil || score.larger() >= reportableScore) {
             UpstreamEvidence evidence;
             evidence.upstream = static_cast<std::uint32_t>(index);
-            evidence.score = score.larger();
+            evidence.score = m_detector.corroboration(now, index);
             evidence.severity = entry.wantsEjection ? entry.severity : score.severity;
             evidence.good = entry.good;
             evidence.bad = entry.bad;
