--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -98,7 +98,7 @@
         return;
     }
     if (node.paused) {
-        node.held.push_back([this, index, generation, run = std::move(run)] {
+        node.held.emplace_back([this, index, generation, run = std::move(run)] {
             input(index, generation, run);
         });
         return;
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -69,6 +69,12 @@
     return ServiceId{customer.value + "/" + service};
 }
 
+/** Customer part of a service's identifier. */
+inline CustomerId customerOf(const ServiceId &service)
+{
+    return CustomerId{service.value.substr(0, service.value.find('/'))};
+}
+
 /** Identifier of an upstream from its service and its name within the contract. */
 inline UpstreamId makeUpstreamId(const ServiceId &service, const std::string &upstream)
 {
--- a/src/core/requestflow.cpp
+++ b/src/core/requestflow.cpp
@@ -12,7 +12,7 @@
 /** A non-idempotent attempt may run this much longer than its caller waits, so that its outcome becomes known. */
 constexpr Duration lateAnswerTime = std::chrono::seconds{10};
 /** Bytes of an answer kept for resends of the same idempotency key. */
-constexpr std::uint64_t storedAnswerBytes = 16 * 1024;
+constexpr std::uint64_t storedAnswerBytes = std::uint64_t{16} * 1024;
 /** Queued requests that cannot be placed before a pass over the queue is given up. */
 constexpr std::size_t maximumUnplaceable = 4;
 
@@ -294,7 +294,7 @@
     emitRefusal(now, request.prepared, std::move(refusal));
 }
 
-void RequestFlow::reportKey(TimePoint now, ActiveRequest &request, RunReport report)
+void RequestFlow::reportKey(TimePoint now, ActiveRequest &request, const RunReport &report)
 {
     if (!request.key.empty()) {
         m_keyHooks.finished(now, request.key, report);
--- a/src/core/requestflow.h
+++ b/src/core/requestflow.h
@@ -118,7 +118,7 @@
     void onRelayedEnd(TimePoint now, ActiveRequest &request, Attempt &attempt, const AttemptReport &report);
     void onUnansweredEnd(TimePoint now, ActiveRequest &request, const AttemptReport &report);
     bool onCrash(TimePoint now, const Attempt &attempt, ServiceState &service);
-    void reportKey(TimePoint now, ActiveRequest &request, RunReport report);
+    void reportKey(TimePoint now, ActiveRequest &request, const RunReport &report);
     void finishIfDone(RequestId request);
     void checkDeadline(TimePoint now, ActiveRequest &request);
     void hedge(TimePoint now, ActiveRequest &request);
--- a/src/core/requestflowanswers.cpp
+++ b/src/core/requestflowanswers.cpp
@@ -239,7 +239,7 @@
         const bool whole = report.storedBody.size() == report.answerBytes;
         run.answer = {request.relayedHead.status, request.relayedHead.contentType, report.storedBody, whole};
     }
-    reportKey(now, request, std::move(run));
+    reportKey(now, request, run);
     request.answered = true;
 }
 
--- a/src/core/servicetable.cpp
+++ b/src/core/servicetable.cpp
@@ -10,12 +10,6 @@
 /** A service without requests for this long is dropped; its state is rebuilt from reports when requests return. */
 constexpr Duration idleServiceTime = std::chrono::minutes{2};
 
-/** Customer part of "customer/service". */
-CustomerId customerOf(const ServiceId &service)
-{
-    return CustomerId{service.value.substr(0, service.value.find('/'))};
-}
-
 } // namespace
 
 ServiceTable::ServiceTable(InstanceRef self,
--- a/src/net/instancecore.cpp
+++ b/src/net/instancecore.cpp
@@ -115,8 +115,7 @@
 
 void InstanceCore::onRequest(TimePoint now, core::CallerRequest head, const RequestContent &content, EffectTarget &target)
 {
-    const CustomerId customer{head.service.value.substr(0, head.service.value.find('/'))};
-    const std::string header = m_instance.organisationHeader(customer);
+    const std::string header = m_instance.organisationHeader(customerOf(head.service));
     if (!header.empty()) {
         head.organisation = findHeader(content.headers, header);
     }
--- a/test/correctness/endtoend_test.cpp
+++ b/test/correctness/endtoend_test.cpp
@@ -135,7 +135,8 @@
     fleet.start();
     REQUIRE_MESSAGE(Fleet::eventually([&] {
                         const json place = fleet.place();
-                        return place.is_object() && place.contains("addresses") && place["addresses"].size() == 2 && place["ticket"] != "";
+                        return place.is_object() && place.contains("addresses") && place["addresses"].size() == 2
+                               && !place["ticket"].get<std::string>().empty();
                     }),
                     "the instances did not find the contract and each other");
 
--- a/test/error/commandline_test.cpp
+++ b/test/error/commandline_test.cpp
@@ -21,6 +21,7 @@
 {
     arguments.insert(arguments.begin(), "jackdawdoor");
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size());
     for (std::string &argument : arguments) {
         pointers.push_back(argument.data());
     }
--- a/test/standins/callers.cpp
+++ b/test/standins/callers.cpp
@@ -30,6 +30,7 @@
 {
     const TimePoint end = net::now() + m_plan.length;
     std::vector<std::jthread> threads;
+    threads.reserve(static_cast<std::size_t>(m_plan.readers) + static_cast<std::size_t>(m_plan.orderers));
     for (int number = 0; number < m_plan.readers; ++number) {
         threads.emplace_back([this, end, number] {
             readUntil(end, number);
@@ -48,7 +49,9 @@
     known.insert(known.end(), m_plan.instances.begin(), m_plan.instances.end());
     for (const std::string &address : known) {
         net::FetchRequest request;
-        request.url = "http://" + address + "/v1/place?customer=" + m_plan.customer + "&service=" + service + "&caller=" + caller;
+        request.url = "http://";
+        request.url.append(address).append("/v1/place?customer=").append(m_plan.customer);
+        request.url.append("&service=").append(service).append("&caller=").append(caller);
         const auto answer = net::fetchAndWait(request);
         const json parsed = answer.has_value() ? json::parse(answer.value().body, nullptr, false) : json();
         if (!parsed.is_object() || !parsed.contains("addresses")) {
