--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -85,7 +85,8 @@
     core::PlatformList list;
     for (const Node &node : m_nodes) {
         if (!node.stopped) {
-            list.fleet.instances.push_back({node.member.ref.id, node.member.address, node.member.dataCentre, false});
+            list.fleet.instances.push_back(
+                membership::ListedInstance{node.member.ref.id, node.member.address, node.member.dataCentre, false});
         }
     }
     return list;
