Give leaving upstreams no new work within three seconds

Cause: the instance list was polled every 5 s, longer than the 3 s after which a leaving upstream must get no new work. It is polled every 2 s now; a test in virtual time guards the rest of the way.

--- a/bench/fakes/virtualfleet.cpp
+++ b/bench/fakes/virtualfleet.cpp
@@ -83,6 +83,7 @@
 core::PlatformList VirtualFleet::platformList() const
 {
     core::PlatformList list;
+    list.leavingUpstreams = leavingUpstreams;
     for (const Node &node : m_nodes) {
         if (!node.stopped) {
             list.fleet.instances.push_back(
--- a/bench/fakes/virtualfleet.h
+++ b/bench/fakes/virtualfleet.h
@@ -113,6 +113,7 @@
         std::vector<std::uint64_t>(std::variant_size_v<core::PeerMessage>); ///< by index in PeerMessage
     std::uint64_t attempts = 0;
     bool listIsUp = true;
+    std::vector<std::string> leavingUpstreams; ///< addresses that the instance list names as leaving
 
 private:
     struct Pending {
--- a/src/net/platformtask.cpp
+++ b/src/net/platformtask.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 // The list lags by itself; membership needs it for candidates only. Jitter keeps instances from asking together.
-constexpr Duration listInterval = std::chrono::seconds{5};
+/** With its jitter of a fifth below the 3 s after which a leaving upstream gets no new work. */
+constexpr Duration listInterval = std::chrono::seconds{2};
 constexpr double listJitter = 0.4;
 constexpr int statusOk = 200;
 
--- a/test/correctness/instance_test.cpp
+++ b/test/correctness/instance_test.cpp
@@ -31,3 +31,25 @@
     published.fleet.run(std::chrono::seconds{5});
     CHECK_MESSAGE(answered == requests, "some request to a healthy service was not answered");
 }
+
+// Guards against new work for an upstream that the platform is about to stop.
+TEST_CASE("an upstream that is leaving gets no new work after three seconds")
+{
+    constexpr auto drainLimit = std::chrono::seconds{3};
+    PublishedFleet published(6);
+    const contract::UpstreamPolicy &leaving = published.policy.services.front().upstreams.front();
+    const auto sendReads = [&published](int count) {
+        for (int number = 0; number < count; ++number) {
+            published.fleet.request(static_cast<std::size_t>(number) % 6, published.read("/products/7"), [](const CallerAnswer &) {});
+            published.fleet.run(std::chrono::milliseconds{5});
+        }
+    };
+    sendReads(1000);
+    fakes::FakeUpstream &upstream = published.fleet.upstreams.at(leaving.id);
+    REQUIRE_MESSAGE(upstream.received > 0, "the upstream had no work before it left");
+    published.fleet.leavingUpstreams = {leaving.address};
+    const TimePoint told = published.fleet.now();
+    sendReads(2000);
+    CHECK_MESSAGE(
+        upstream.lastReceived - told < drainLimit, "the upstream still got work ", toSeconds(upstream.lastReceived - told), " s later");
+}
