--- a/src/core/answerclass.cpp
+++ b/src/core/answerclass.cpp
@@ -1,5 +1,7 @@
 #include "core/answerclass.h"
 
+#include "core/httpstatus.h"
+
 #include <algorithm>
 #include <charconv>
 #include <string_view>
@@ -8,9 +10,6 @@
 
 namespace {
 
-constexpr int firstServerError = 500;
-constexpr int firstErrorOfAnyKind = 400;
-
 /** Age in the freshness header, or nothing when it is missing or not a number of seconds. */
 std::optional<Duration> parseAge(std::string_view text)
 {
@@ -53,10 +52,10 @@
     if (std::find(rule.statuses.begin(), rule.statuses.end(), head.status) != rule.statuses.end()) {
         return health::OutcomeKind::WrongAnswer;
     }
-    if (head.status >= firstServerError) {
+    if (head.status >= httpstatus::firstServerError) {
         return health::OutcomeKind::Error;
     }
-    if (head.status < firstErrorOfAnyKind && violatesHead(rule, head)) {
+    if (head.status < httpstatus::firstClientError && violatesHead(rule, head)) {
         return health::OutcomeKind::WrongAnswer;
     }
     return health::OutcomeKind::Success;
--- a/src/core/keyflow.cpp
+++ b/src/core/keyflow.cpp
@@ -1,5 +1,6 @@
 #include "core/keyflow.h"
 
+#include "core/httpstatus.h"
 #include "core/keyrefusal.h"
 
 #include <utility>
@@ -10,11 +11,8 @@
 
 namespace {
 
-/** Timeouts of a resolver: well above the round trip between data centres of a region. */
-constexpr ResolverTimes resolverTimes{std::chrono::milliseconds{600}, std::chrono::milliseconds{600}, std::chrono::milliseconds{150}};
 /** A forwarded request whose end was not reported is forgotten this long after its deadline. */
 constexpr Duration forwardMemory = std::chrono::minutes{1};
-constexpr int badRequest = 400;
 
 template <typename... Handlers>
 struct Overloaded : Handlers... {
@@ -64,7 +62,8 @@
     const auto key = IdempotencyKey::decodeFromCaller(prepared.request.key, m_authenticate);
     if (!key || key.value().ticket.service != prepared.service->id) {
         const std::string reason = key ? "the key's ticket is for another service" : key.error().reason;
-        m_requests.refuse(now, prepared, {badRequest, Disposition::NotRun, RefusalStage::Malformed, false, std::nullopt, reason});
+        m_requests.refuse(
+            now, prepared, {httpstatus::badRequest, Disposition::NotRun, RefusalStage::Malformed, false, std::nullopt, reason});
         return;
     }
     const AdmitResult result = m_home.admit(now, key.value(), prepared.request.fingerprint);
@@ -185,84 +184,11 @@
     }
 }
 
-bool KeyFlow::homeIsGone(const InstanceRef &home) const
-{
-    const membership::Member *member = m_membership.view()->find(home.id);
-    return member == nullptr || member->ref.incarnation > home.incarnation || member->state == membership::MemberState::Failed;
-}
-
-void KeyFlow::startResolution(TimePoint now, PreparedRequest prepared, const IdempotencyKey &key)
-{
-    const RequestId id = prepared.request.id;
-    // A forwarded request has reached the instance that the sender took for the home; this process is another one.
-    const bool gone = prepared.request.forwarded || homeIsGone(key.ticket.home);
-    OutcomeResolver resolver(key, prepared.request.fingerprint, ResolverPurpose::Resend, resolverTimes);
-    auto &resolution = m_resolutions.emplace(id, Resolution{std::move(prepared), std::move(resolver)}).first->second;
-    applyResolver(now, id, resolution.resolver.start(now, gone));
-}
-
-void KeyFlow::applyResolver(TimePoint now, RequestId id, const ResolverStep &step)
-{
-    m_outbox.sendAll(step.messages);
-    const auto found = m_resolutions.find(id);
-    if (const auto *forward = std::get_if<ForwardRequest>(&step.decision)) {
-        found->second.forwarded = true;
-        m_outbox.add(ForwardToPeer{id, forward->home, m_membership.addressOf(forward->home)});
-        return;
-    }
-    if (const auto *resolved = std::get_if<Resolved>(&step.decision)) {
-        const PreparedRequest prepared = std::move(found->second.prepared);
-        m_resolutions.erase(found);
-        answerOutcome(now, prepared, resolved->outcome);
-    }
-}
-
-void KeyFlow::answerOutcome(TimePoint now, const PreparedRequest &prepared, const KeyOutcome &outcome)
-{
-    if (outcome.kind == OutcomeKind::Completed) {
-        answerStored(prepared, outcome.answer);
-    } else {
-        m_requests.refuse(now, prepared, refusalFor(outcome));
-    }
-}
-
 void KeyFlow::answerStored(const PreparedRequest &prepared, const StoredAnswer &answer)
 {
     m_outbox.add(RelayStored{prepared.request.id, answer.status, answer.contentType, answer.body, answer.bodyComplete});
 }
 
-void KeyFlow::onOutcomeQuery(TimePoint now, RequestId query, const std::string &text)
-{
-    PreparedRequest prepared;
-    prepared.request.id = query;
-    prepared.request.key = text;
-    prepared.arrived = now;
-    prepared.deadline = now;
-    const auto key = IdempotencyKey::decodeFromCaller(text, m_authenticate);
-    if (!key) {
-        m_requests.refuse(
-            now, prepared, {badRequest, Disposition::Unknown, RefusalStage::Malformed, false, std::nullopt, key.error().reason});
-        return;
-    }
-    prepared.request.service = key.value().ticket.service;
-    if (key.value().ticket.home == m_self) {
-        answerOutcome(now, prepared, m_home.outcomeOf(now, key.value()));
-        return;
-    }
-    OutcomeResolver resolver(key.value(), 0, ResolverPurpose::OutcomeQuery, resolverTimes);
-    auto &resolution = m_resolutions.emplace(query, Resolution{std::move(prepared), std::move(resolver)}).first->second;
-    applyResolver(now, query, resolution.resolver.start(now, homeIsGone(key.value().ticket.home)));
-}
-
-void KeyFlow::onForwardFailed(TimePoint now, RequestId request)
-{
-    const auto found = m_resolutions.find(request);
-    if (found != m_resolutions.end()) {
-        found->second.forwarded = false;
-        applyResolver(now, request, found->second.resolver.onForwardFailed(now));
-    }
-}
-
 void KeyFlow::onMessage(TimePoint now, const InstanceRef &from, const IdempotencyMessage &message)
 {
     const IdempotencyKey *key = keyOf(message);
--- a/src/core/keyrefusal.cpp
+++ b/src/core/keyrefusal.cpp
@@ -1,13 +1,12 @@
 #include "core/keyrefusal.h"
 
+#include "core/httpstatus.h"
+
 namespace jackdawdoor::core {
 
 namespace {
 
-constexpr int conflict = 409;
-constexpr int gone = 410;
-constexpr int serviceUnavailable = 503;
-constexpr int gatewayTimeout = 504;
+using namespace httpstatus;
 
 Refusal describe(idempotency::KeyRefusal reason)
 {
--- a/src/core/requestflowanswers.cpp
+++ b/src/core/requestflowanswers.cpp
@@ -1,6 +1,7 @@
 /* Second half of RequestFlow: what happens after a dispatch. */
 #include "base/stablehash.h"
 #include "core/answerclass.h"
+#include "core/httpstatus.h"
 #include "core/requestflow.h"
 
 #include <algorithm>
@@ -12,14 +13,9 @@
 
 namespace {
 
-constexpr int firstErrorStatus = 400;
-constexpr int badGateway = 502;
-constexpr int serviceUnavailable = 503;
-constexpr int gatewayTimeout = 504;
-
 bool isShortBody(const contract::WrongAnswerRule &rule, const AnswerHead &head, const AttemptReport &report)
 {
-    return head.status < firstErrorStatus && report.answerBytes < rule.minimumBodyBytes;
+    return head.status < httpstatus::firstClientError && report.answerBytes < rule.minimumBodyBytes;
 }
 
 } // namespace
@@ -130,7 +126,7 @@
     if (shed) {
         refuseActive(now,
                      request,
-                     {serviceUnavailable,
+                     {httpstatus::serviceUnavailable,
                       Disposition::NotRun,
                       RefusalStage::NoUpstream,
                       true,
@@ -139,7 +135,7 @@
     } else {
         refuseActive(now,
                      request,
-                     {badGateway,
+                     {httpstatus::badGateway,
                       Disposition::Unknown,
                       RefusalStage::AttemptsExhausted,
                       idempotent,
@@ -255,7 +251,7 @@
         reportKey(now, request, {RunEnd::Unknown, {}});
         refuseActive(now,
                      request,
-                     {gatewayTimeout,
+                     {httpstatus::gatewayTimeout,
                       Disposition::Unknown,
                       RefusalStage::AnswerLost,
                       false,
@@ -273,10 +269,14 @@
     if (retry(now, request, provenNotRun)) {
         return;
     }
-    refuseActive(
-        now,
-        request,
-        {badGateway, Disposition::NotRun, RefusalStage::AttemptsExhausted, true, std::nullopt, "no attempt at an upstream succeeded"});
+    refuseActive(now,
+                 request,
+                 {httpstatus::badGateway,
+                  Disposition::NotRun,
+                  RefusalStage::AttemptsExhausted,
+                  true,
+                  std::nullopt,
+                  "no attempt at an upstream succeeded"});
 }
 
 bool RequestFlow::onCrash(TimePoint now, const Attempt &attempt, ServiceState &service)
@@ -308,94 +308,4 @@
     return attribution.countsAgainstUpstream;
 }
 
-void RequestFlow::onCallerGone(TimePoint now, RequestId id)
-{
-    ActiveRequest *request = find(id);
-    if (request == nullptr || request->callerGone) {
-        return;
-    }
-    request->callerGone = true;
-    if (request->queued) {
-        ServiceState *service = m_services.find(request->prepared.service->id);
-        service->queue.remove(id);
-        request->queued = false;
-        if (!request->mayHaveRun) {
-            reportKey(now, *request, {RunEnd::NotRunOpen, {}});
-        }
-        request->answered = true;
-    } else if (request->operation().idempotent) {
-        abandonOthers(*request, 0);
-        request->answered = true;
-    }
-    finishIfDone(id);
-}
-
-void RequestFlow::checkDeadline(TimePoint now, ActiveRequest &request)
-{
-    if (request.relaying || request.answered || now < request.prepared.deadline || request.queued) {
-        return;
-    }
-    if (request.operation().idempotent) {
-        abandonOthers(request, 0);
-        refuseActive(
-            now,
-            request,
-            {gatewayTimeout, Disposition::Unknown, RefusalStage::AttemptsExhausted, true, std::nullopt, "no answer within the deadline"});
-        return;
-    }
-    // The attempt goes on, so that a later question can be answered with the outcome.
-    refuseActive(now,
-                 request,
-                 {gatewayTimeout,
-                  Disposition::Unknown,
-                  RefusalStage::AnswerLost,
-                  false,
-                  std::nullopt,
-                  "still running at the deadline; ask for the outcome of the key"});
-    request.callerGone = true;
-}
-
-void RequestFlow::hedge(TimePoint now, ActiveRequest &request)
-{
-    const contract::OperationPolicy &operation = request.operation();
-    const bool wanted = operation.idempotent && operation.hedgeDelay && !request.relaying && !request.answered && !request.queued
-                        && request.running.size() == 1 && request.attemptsStarted < operation.maximumAttempts;
-    if (!wanted || now - m_attempts.at(request.running.front()).started < *operation.hedgeDelay) {
-        return;
-    }
-    ServiceState *service = m_services.find(request.prepared.service->id);
-    if (service != nullptr && anyFreeSlot(now, *service) && service->retries.tryRetry()) {
-        tryDispatch(now, request, true);
-    }
-}
-
-void RequestFlow::onTick(TimePoint now)
-{
-    std::vector<RequestId> ids;
-    ids.reserve(m_requests.size());
-    for (auto &[id, request] : m_requests) {
-        checkDeadline(now, request);
-        hedge(now, request);
-        ids.push_back(id);
-    }
-    for (const auto &[id, service] : m_services.services()) {
-        for (const RequestId expired : service->queue.takeExpired(now)) {
-            ActiveRequest *request = find(expired);
-            request->queued = false;
-            refuseActive(now,
-                         *request,
-                         {serviceUnavailable,
-                          Disposition::NotRun,
-                          RefusalStage::DeadlineTooShort,
-                          true,
-                          std::nullopt,
-                          "no slot became free within the deadline"});
-        }
-        drainQueue(now, *service);
-    }
-    for (const RequestId id : ids) {
-        finishIfDone(id);
-    }
-}
-
 } // namespace jackdawdoor::core
