Ask for outcomes with a number of their own in the measuring program

A resend after the end of the schedule raised the number by which the answer to an outcome query is recognised, so the asking stopped after the first question.

--- a/bench/measure/callers.h
+++ b/bench/measure/callers.h
@@ -36,6 +36,7 @@
     int sends = 0; ///< of the present key
     int tickets = 0;
     std::uint64_t wait = 0; ///< number of the exchange that is waited for
+    std::uint64_t question = 0; ///< counts outcome queries, so that a late resend does not end the asking
     bool answered = false;
     bool gaveUp = false; ///< the last key did not run, and no further ticket is asked for
     bool outcomeUnknown = false; ///< the system said so when asked for the outcome
--- a/bench/measure/submissions.cpp
+++ b/bench/measure/submissions.cpp
@@ -163,18 +163,18 @@
     if (attempt >= outcomeQuestions || !isOpen(*submission)) {
         return;
     }
-    const std::uint64_t wait = ++submission->wait;
+    const std::uint64_t question = ++submission->question;
     const std::size_t instance = anyInstance();
     const auto again = [this, submission, attempt](Duration pause) {
         m_fleet.events().after(pause, [this, submission, attempt] {
             askOutcome(submission, attempt + 1);
         });
     };
-    m_fleet.queryOutcome(instance, submission->keys.back(), [this, submission, wait, again](const fakes::CallerAnswer &answer) {
-        if (submission->wait != wait) {
+    m_fleet.queryOutcome(instance, submission->keys.back(), [this, submission, question, again](const fakes::CallerAnswer &answer) {
+        if (submission->question != question) {
             return;
         }
-        ++submission->wait;
+        ++submission->question;
         note(*submission, "outcome " + describe(answer));
         submission->answered = answer.kind == Kind::Answered;
         if (isNotRun(answer)) {
@@ -183,9 +183,9 @@
         submission->outcomeUnknown = answer.kind == Kind::Refused && !isNotRun(answer);
         again(outcomePause);
     });
-    m_fleet.events().after(outcomeWait, [submission, wait, again] {
-        if (submission->wait == wait) {
-            ++submission->wait;
+    m_fleet.events().after(outcomeWait, [submission, question, again] {
+        if (submission->question == question) {
+            ++submission->question;
             again(outcomePause);
         }
     });
