Fix a test that read an empty optional under RC_ASSERT

The sanitizer build failed with a wrong variant index: RC_ASSERT overloads || and evaluates both sides, so that the check read a record that wasn't there.

--- a/test/error/fleetcodec_test.cpp
+++ b/test/error/fleetcodec_test.cpp
@@ -133,7 +133,9 @@
         } else {
             damaged[random() % damaged.size()] = static_cast<char>(random());
             const auto record = configuration::decodeRecord(damaged);
-            RC_ASSERT(!record || std::get<configuration::Publish>(*record).body.has_value());
+            // A variable of its own, because RC_ASSERT overloads || and would evaluate both sides.
+            const bool keepsBody = !record || std::get<configuration::Publish>(*record).body.has_value();
+            RC_ASSERT(keepsBody);
         }
     });
     CHECK_MESSAGE(holds, "a damaged record was misread");
@@ -157,7 +159,8 @@
             membership.onPeerMessage(now, from, membership::PingRequest{source.number(), from, {source.update()}});
             membership.onTick(now);
             const auto *own = membership.view()->find(self);
-            RC_ASSERT(own != nullptr && own->state == membership::MemberState::Live);
+            RC_ASSERT(own != nullptr);
+            RC_ASSERT(own->state == membership::MemberState::Live);
 
             configuration::States states;
             states.states.push_back({CustomerId{source.name()}, source.number(), source.number(), source.name()});
