--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -289,13 +289,4 @@
     }
 }
 
-void Membership::takePage(const Ack &ack)
-{
-    m_synchronising = ack.morePages;
-    // A correction of this instance's own rumour may stand where the page would, but never after it.
-    if (ack.updates.size() > 1 && ack.updates.back().ref.id != m_table.self().ref.id) {
-        m_synchronisedThrough = std::max(m_synchronisedThrough, ack.updates.back().ref.id);
-    }
-}
-
 } // namespace jackdawdoor::membership
--- a/src/membership/membershipprobes.cpp
+++ b/src/membership/membershipprobes.cpp
@@ -252,6 +252,15 @@
     }
 }
 
+void Membership::takePage(const Ack &ack)
+{
+    m_synchronising = ack.morePages;
+    // A correction of this instance's own rumour may stand where the page would, but never after it.
+    if (ack.updates.size() > 1 && ack.updates.back().ref.id != m_table.self().ref.id) {
+        m_synchronisedThrough = std::max(m_synchronisedThrough, ack.updates.back().ref.id);
+    }
+}
+
 bool Membership::hasPeers() const
 {
     return std::any_of(m_table.records().begin(), m_table.records().end(), [this](const auto &item) {
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -282,25 +282,4 @@
     });
 }
 
-const MemberUpdate &MemberTable::self() const
-{
-    return m_records.at(m_selfId).update;
-}
-
-const MemberRecord *MemberTable::find(const InstanceId &id) const
-{
-    const auto found = m_records.find(id);
-    return found == m_records.end() ? nullptr : &found->second;
-}
-
-const std::map<InstanceId, MemberRecord> &MemberTable::records() const
-{
-    return m_records;
-}
-
-std::size_t MemberTable::fleetSize() const
-{
-    return m_fleetSize;
-}
-
 } // namespace jackdawdoor::membership
--- a/src/membership/membertableviews.cpp
+++ b/src/membership/membertableviews.cpp
@@ -17,6 +17,27 @@
 
 } // namespace
 
+const MemberUpdate &MemberTable::self() const
+{
+    return m_records.at(m_selfId).update;
+}
+
+const MemberRecord *MemberTable::find(const InstanceId &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+const std::map<InstanceId, MemberRecord> &MemberTable::records() const
+{
+    return m_records;
+}
+
+std::size_t MemberTable::fleetSize() const
+{
+    return m_fleetSize;
+}
+
 std::optional<MemberUpdate> MemberTable::correctionFor(const MemberUpdate &own) const
 {
     const auto found = m_records.find(own.ref.id);
