Count leaving upstreams for the floor at the coordinator

Cause: FleetHealth::setUnavailable() was called by its own tests only, so in serve the coordinator took leaving upstreams for usable and could eject below the healthy floor. The instance list now reaches the coordinator too. The new test fails without the change (an ejection below the floor) and passes with it.

--- a/src/core/servicecoordinator.cpp
+++ b/src/core/servicecoordinator.cpp
@@ -1,5 +1,6 @@
 #include "core/servicecoordinator.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawdoor::core {
@@ -9,6 +10,7 @@
                                        const contract::ServicePolicy &policy,
                                        std::uint64_t version)
     : m_customer(std::move(customer))
+    , m_policy(&policy)
     , m_version(version)
     , m_ledger(now, policy, version)
     , m_health(policy, version)
@@ -23,6 +25,7 @@
     m_ledger.adoptPolicy(now, policy, version);
     m_health.adoptPolicy(policy, version);
     m_customer = std::move(customer);
+    m_policy = &policy;
     m_version = version;
 }
 
@@ -35,6 +38,13 @@
     return update;
 }
 
+void ServiceCoordinator::setLeavingAddresses(const std::vector<std::string> &addresses)
+{
+    for (const contract::UpstreamPolicy &upstream : m_policy->upstreams) {
+        m_health.setUnavailable(upstream.id, std::binary_search(addresses.begin(), addresses.end(), upstream.address));
+    }
+}
+
 void ServiceCoordinator::onTick(TimePoint now, int listed, int visible)
 {
     m_ledger.setVisibility(now, listed, visible);
--- a/src/core/servicecoordinator.h
+++ b/src/core/servicecoordinator.h
@@ -7,6 +7,8 @@
 #include "limits/slotledger.h"
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace jackdawdoor::core {
 
@@ -22,6 +24,9 @@
     /** Books a holder's report and returns its grant with all current verdicts. */
     ServiceUpdate onReport(TimePoint now, const InstanceRef &from, const ServiceReport &report);
 
+    /** Counts upstreams at these sorted addresses as unusable for the healthy floor. */
+    void setLeavingAddresses(const std::vector<std::string> &addresses);
+
     /** Drops expired leases; follows the fleet's visibility. */
     void onTick(TimePoint now, int listed, int visible);
 
@@ -34,6 +39,7 @@
 
 private:
     configuration::PolicyPointer m_customer; ///< keeps the policy alive
+    const contract::ServicePolicy *m_policy; ///< points into `m_customer`
     std::uint64_t m_version;
     limits::SlotLedger m_ledger;
     health::FleetHealth m_health;
--- a/src/core/servicetable.cpp
+++ b/src/core/servicetable.cpp
@@ -74,6 +74,7 @@
     }
     const auto state = m_configuration.stateOf(customer->customer);
     auto created = std::make_unique<ServiceCoordinator>(now, customer, *policy, state ? state->version : 0);
+    created->setLeavingAddresses(m_leavingAddresses);
     const membership::MembershipView &view = m_placement.view();
     created->onTick(now, static_cast<int>(view.listed), static_cast<int>(view.visible));
     m_outbox.log({"coordinate", 0, customer->customer, service.value, m_self.id.value, "first in rank for the service", ""});
@@ -241,6 +242,7 @@
         const contract::ServicePolicy *changed = policy ? policy->findService(id) : nullptr;
         if (changed != nullptr && state) {
             coordinator->adopt(now, policy, *changed, state->version);
+            coordinator->setLeavingAddresses(m_leavingAddresses);
         }
     }
 }
@@ -252,6 +254,9 @@
     for (auto &[id, service] : m_services) {
         markLeaving(*service);
     }
+    for (auto &[id, coordinator] : m_coordinated) {
+        coordinator->setLeavingAddresses(m_leavingAddresses);
+    }
 }
 
 void ServiceTable::markLeaving(ServiceState &service)
--- a/test/correctness/instance_test.cpp
+++ b/test/correctness/instance_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace jackdawdoor;
 using fakes::CallerAnswer;
 using test::PublishedFleet;
@@ -53,3 +55,45 @@
     CHECK_MESSAGE(
         upstream.lastReceived - told < drainLimit, "the upstream still got work ", toSeconds(upstream.lastReceived - told), " s later");
 }
+
+// Guards against a fleet-wide ejection that ignores upstreams which are leaving and so breaks the healthy floor.
+TEST_CASE("the coordinator counts leaving upstreams as unusable for the healthy floor")
+{
+    const auto policy =
+        std::make_shared<const contract::CustomerPolicy>(core::compileContract(test::readExample("quetzal.contract.json")).value());
+    const contract::ServicePolicy &service = policy->services.front();
+    const auto floor = static_cast<std::size_t>(service.health.healthyFloor);
+    const std::size_t leavingCount = service.upstreams.size() - floor;
+    const auto accuseLast = [&](bool someLeave) {
+        TimePoint now{std::chrono::hours{1}};
+        core::ServiceCoordinator coordinator(now, policy, service, 1);
+        std::vector<std::string> leaving;
+        for (std::size_t index = 0; someLeave && index < leavingCount; ++index) {
+            leaving.push_back(service.upstreams[index].address);
+        }
+        std::sort(leaving.begin(), leaving.end());
+        coordinator.setLeavingAddresses(leaving);
+        core::ServiceReport report;
+        report.demand.service = report.evidence.service = service.id;
+        report.demand.policyVersion = report.evidence.policyVersion = 1;
+        health::UpstreamEvidence accusation;
+        accusation.upstream = static_cast<std::uint32_t>(service.upstreams.size() - 1);
+        accusation.score = 100;
+        accusation.severity = 10;
+        accusation.bad = 10;
+        accusation.ejectedHere = true;
+        report.evidence.upstreams = {accusation};
+        std::size_t verdicts = 0;
+        for (const char *holder : {"a", "b"}) {
+            ++report.demand.sequence;
+            const auto update = coordinator.onReport(now, InstanceRef{InstanceId{holder}, 1}, report);
+            verdicts = static_cast<std::size_t>(
+                std::count_if(update.verdicts.verdicts.begin(), update.verdicts.verdicts.end(), [](const auto &verdict) {
+                    return verdict.kind == health::VerdictKind::Eject;
+                }));
+        }
+        return verdicts;
+    };
+    CHECK_MESSAGE(accuseLast(false) == 1, "two accusing holders did not eject although the floor allows it");
+    CHECK_MESSAGE(accuseLast(true) == 0, "an ejection left fewer usable upstreams than the floor");
+}
