--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -4,6 +4,7 @@
 #include "cli/clientcommands.h"
 #include "cli/command.h"
 #include "cli/explaincommand.h"
+#include "cli/proxycommand.h"
 #include "cli/publishcommand.h"
 #include "cli/servecommand.h"
 #include "net/httpmessage.h"
@@ -46,6 +47,19 @@
             }};
 }
 
+Command proxyCommand()
+{
+    return {"proxy",
+            "",
+            "Runs an instance on the users' platform. SIGTERM leaves placement, finishes every request in progress and exits; SIGHUP reads "
+            "the settings again.",
+            "0 after a planned stop, 1 when it cannot start, 2 for a faulty settings file",
+            {{"settings", "the platform's settings file; without it the path that the platform gives"}},
+            [](const Arguments &, std::ostream &, std::ostream &err) {
+                return runProxy(absl::GetFlag(FLAGS_settings), err);
+            }};
+}
+
 Command statusCommand()
 {
     return {
@@ -153,7 +167,7 @@
 
 std::vector<Command> allCommands(const net::CoreFactory &makeCore)
 {
-    return {checkCommand(), explainCommand(), publishCommand(), statusCommand(), placeCommand(), serveCommand(makeCore)};
+    return {checkCommand(), explainCommand(), publishCommand(), statusCommand(), placeCommand(), proxyCommand(), serveCommand(makeCore)};
 }
 
 int runCommand(const Command &command, Arguments arguments, std::ostream &out, std::ostream &err)
--- /dev/null
+++ b/src/fleet/crashledger.cpp
@@ -0,0 +1,55 @@
+#include "fleet/crashledger.h"
+
+namespace jackdawdoor::fleet {
+
+namespace {
+
+/** An upstream found unreachable this long after it broke a request off has crashed with it. */
+constexpr Duration crashWindow = std::chrono::milliseconds{1500};
+/** Callers send such a request again for a while. */
+constexpr Duration memory = std::chrono::minutes{5};
+
+} // namespace
+
+void CrashLedger::noteBroken(TimePoint now, std::uint64_t request, std::uint32_t upstream)
+{
+    m_broken.emplace(upstream, Broken{now, request});
+}
+
+std::vector<std::uint64_t> CrashLedger::noteUnreachable(TimePoint now, std::uint32_t upstream)
+{
+    std::vector<std::uint64_t> suspects;
+    const auto [first, last] = m_broken.equal_range(upstream);
+    for (auto entry = first; entry != last; ++entry) {
+        if (now - entry->second.at <= crashWindow) {
+            suspects.push_back(entry->second.request);
+        }
+    }
+    m_broken.erase(first, last);
+    return suspects;
+}
+
+void CrashLedger::noteCrash(TimePoint now, std::uint64_t request, std::uint32_t upstream)
+{
+    Crashes &crashes = m_crashes[request];
+    crashes.last = now;
+    crashes.upstreams.insert(upstream);
+}
+
+bool CrashLedger::refused(std::uint64_t request) const
+{
+    const auto found = m_crashes.find(request);
+    return found != m_crashes.end() && found->second.upstreams.size() >= maximumCrashes;
+}
+
+void CrashLedger::expire(TimePoint now)
+{
+    std::erase_if(m_broken, [now](const auto &entry) {
+        return now - entry.second.at > crashWindow;
+    });
+    std::erase_if(m_crashes, [now](const auto &entry) {
+        return now - entry.second.last > memory;
+    });
+}
+
+} // namespace jackdawdoor::fleet
--- /dev/null
+++ b/src/fleet/fleetmessage.cpp
@@ -0,0 +1,116 @@
+#include "fleet/fleetmessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace jackdawdoor::fleet {
+
+using nlohmann::json;
+
+namespace {
+
+json encodePayload(const LoadReport &report)
+{
+    json items = json::array();
+    for (const LoadItem &item : report.items) {
+        items.push_back(item.key);
+        items.push_back(item.inFlight);
+        items.push_back(item.successes);
+    }
+    return items;
+}
+
+json encodePayload(const FailureNotice &notice)
+{
+    return json::array({notice.key});
+}
+
+json encodePayload(const CrashNotice &notice)
+{
+    return json::array({notice.request, notice.key});
+}
+
+json encodePayload(const StoreNotice &notice)
+{
+    return json::array({notice.configurationVersion, notice.catalogue, notice.age.count()});
+}
+
+json encodePayload(const membership::MembershipMessage &message)
+{
+    json payload;
+    std::visit(
+        [&payload](const auto &typed) {
+            payload = typed;
+        },
+        message);
+    return json::array({message.index(), std::move(payload)});
+}
+
+LoadReport decodeLoad(const json &in)
+{
+    constexpr std::size_t width = 3;
+    LoadReport report;
+    for (std::size_t index = 0; index + width <= in.size(); index += width) {
+        report.items.push_back({in.at(index).get<std::uint32_t>(), in.at(index + 1).get<int>(), in.at(index + 2).get<int>()});
+    }
+    return report;
+}
+
+membership::MembershipMessage decodeMembership(const json &in)
+{
+    switch (in.at(0).get<std::size_t>()) {
+    case 0:
+        return in.at(1).get<membership::Ping>();
+    case 1:
+        return in.at(1).get<membership::PingRequest>();
+    default:
+        return in.at(1).get<membership::Ack>();
+    }
+}
+
+FleetMessage decodePayload(std::size_t kind, const json &in)
+{
+    switch (kind) {
+    case 0:
+        return decodeLoad(in);
+    case 1:
+        return FailureNotice{in.at(0).get<std::uint32_t>()};
+    case 2:
+        return CrashNotice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint32_t>()};
+    case 3:
+        return StoreNotice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), Duration{in.at(2).get<Duration::rep>()}};
+    default:
+        return decodeMembership(in);
+    }
+}
+
+} // namespace
+
+std::string encodeDatagram(const FleetDatagram &datagram)
+{
+    json payload = std::visit(
+        [](const auto &typed) {
+            return encodePayload(typed);
+        },
+        datagram.message);
+    const json whole = json::array({datagram.message.index(), datagram.from.id.value, datagram.from.incarnation, std::move(payload)});
+    std::string bytes;
+    json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+std::optional<FleetDatagram> decodeDatagram(std::string_view bytes)
+{
+    try {
+        const json whole = json::from_cbor(bytes);
+        const auto kind = whole.at(0).get<std::size_t>();
+        if (kind >= std::variant_size_v<FleetMessage>) {
+            return std::nullopt;
+        }
+        return FleetDatagram{{InstanceId{whole.at(1).get<std::string>()}, whole.at(2).get<Incarnation>()},
+                             decodePayload(kind, whole.at(3))};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace jackdawdoor::fleet
--- /dev/null
+++ b/src/fleet/fleetmessage.h
@@ -0,0 +1,74 @@
+/** Datagrams between instances about upstreams and about what the platform's store holds.
+ *
+ * Each is small enough for one datagram and may be lost: loads and store notices are repeated, and a lost failure notice
+ * costs a later detection only. Encoded as CBOR positional arrays.
+ */
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "membership/membershipmessage.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jackdawdoor::fleet {
+
+/** Load of one upstream from one instance. */
+struct LoadItem {
+    std::uint32_t key = 0; ///< of the upstream's incarnation
+    int inFlight = 0;
+    int successes = 0; ///< since the previous report
+
+    bool operator==(const LoadItem &) const = default;
+};
+
+/** What one instance has running, and its successes since the last report. */
+struct LoadReport {
+    std::vector<LoadItem> items;
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+/** A request failed at an upstream. */
+struct FailureNotice {
+    std::uint32_t key = 0; ///< of the upstream's incarnation
+
+    bool operator==(const FailureNotice &) const = default;
+};
+
+/** A request may have crashed an upstream. */
+struct CrashNotice {
+    std::uint64_t request = 0; ///< fingerprint of method, target and body
+    std::uint32_t key = 0; ///< of the upstream's incarnation
+
+    bool operator==(const CrashNotice &) const = default;
+};
+
+/** What the sender knows from the platform's store. */
+struct StoreNotice {
+    std::uint64_t configurationVersion = 0; ///< zero: none
+    std::uint64_t catalogue = 0; ///< fingerprint of the upstreams
+    Duration age{}; ///< since the start of the sender's last complete reading
+
+    bool operator==(const StoreNotice &) const = default;
+};
+
+using FleetMessage = std::variant<LoadReport, FailureNotice, CrashNotice, StoreNotice, membership::MembershipMessage>;
+
+/** A message with its sender. */
+struct FleetDatagram {
+    InstanceRef from;
+    FleetMessage message;
+};
+
+std::string encodeDatagram(const FleetDatagram &datagram);
+
+/** Nothing for bytes that are not a datagram of this form. */
+std::optional<FleetDatagram> decodeDatagram(std::string_view bytes);
+
+} // namespace jackdawdoor::fleet
--- /dev/null
+++ b/src/fleet/upstreamboard.cpp
@@ -0,0 +1,203 @@
+#include "fleet/upstreamboard.h"
+
+#include "base/stablehash.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::fleet {
+
+namespace {
+
+/** Without a report for this long an instance's load is taken for gone; six reports may be lost before. */
+constexpr Duration reportLifetime = std::chrono::milliseconds{1500};
+/** An upstream that rejected a request is passed over this long; its queue empties at the pace of its work. */
+constexpr Duration fullHold = std::chrono::milliseconds{150};
+/** First time for which an unreachable upstream is passed over; doubles with each further failure. */
+constexpr Duration unreachableHold = std::chrono::milliseconds{400};
+constexpr int maximumDoublings = 3;
+/** Another upstream has the address: the entry will change soon. */
+constexpr Duration misdirectedHold = std::chrono::seconds{2};
+/** Weight of the latest answer in the moving mean of an upstream's latency. */
+constexpr double latencyWeight = 0.2;
+
+} // namespace
+
+std::uint32_t upstreamKey(const UpstreamId &id, std::int64_t born)
+{
+    return static_cast<std::uint32_t>(stableHash(id.value, static_cast<std::uint64_t>(born)));
+}
+
+void UpstreamBoard::setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries)
+{
+    std::map<UpstreamId, UpstreamRecord> records;
+    for (const UpstreamEntry &entry : entries) {
+        const auto known = m_records.find(entry.id);
+        UpstreamRecord record;
+        if (known != m_records.end() && known->second.entry.born == entry.born) {
+            record = std::move(known->second);
+        } else {
+            record.key = upstreamKey(entry.id, entry.born);
+        }
+        if (entry.warmupLeft > Duration::zero()) {
+            record.warmAt = now + entry.warmupLeft;
+        }
+        record.entry = entry;
+        records.emplace(entry.id, std::move(record));
+    }
+    m_records = std::move(records);
+    m_byService.clear();
+    m_byKey.clear();
+    for (auto &[id, record] : m_records) {
+        m_byService[record.entry.service].push_back(&record);
+        m_byKey[record.key] = &record;
+    }
+}
+
+const std::vector<UpstreamRecord *> &UpstreamBoard::ofService(const ServiceId &service) const
+{
+    static const std::vector<UpstreamRecord *> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+UpstreamRecord *UpstreamBoard::find(const UpstreamId &id, std::int64_t born)
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() || found->second.entry.born != born ? nullptr : &found->second;
+}
+
+UpstreamRecord *UpstreamBoard::findKey(std::uint32_t key)
+{
+    const auto found = m_byKey.find(key);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
+void UpstreamBoard::begin(UpstreamRecord &record)
+{
+    ++record.ownInFlight;
+}
+
+void UpstreamBoard::end(TimePoint now, const UpstreamId &id, std::int64_t born, AttemptOutcome outcome, Duration took)
+{
+    if (UpstreamRecord *record = find(id, born)) {
+        record->ownInFlight = std::max(0, record->ownInFlight - 1);
+        settle(now, *record, outcome, took);
+    }
+}
+
+void UpstreamBoard::settle(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration took)
+{
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+        record.belief.addSuccesses(now, 1);
+        ++record.unreportedSuccesses;
+        record.unreachableInRow = 0;
+        record.answeredAnyone = true;
+        record.meanLatency = record.meanLatency == 0 ? toSeconds(took) : record.meanLatency + latencyWeight * (toSeconds(took) - record.meanLatency);
+        return;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::TimedOut:
+        record.belief.addFailures(now, 1);
+        record.answeredAnyone = true;
+        return;
+    case AttemptOutcome::NotRun:
+        record.fullUntil = now + fullHold;
+        return;
+    case AttemptOutcome::Misdirected:
+        record.unusableUntil = now + misdirectedHold;
+        return;
+    case AttemptOutcome::Unreachable:
+        noteUnreachable(now, record);
+        return;
+    case AttemptOutcome::Abandoned:
+        return;
+    }
+}
+
+void UpstreamBoard::noteUnreachable(TimePoint now, UpstreamRecord &record)
+{
+    const int doublings = std::min(record.unreachableInRow, maximumDoublings);
+    record.unusableUntil = now + unreachableHold * (1 << doublings);
+    ++record.unreachableInRow;
+}
+
+void UpstreamBoard::noteOverdue(TimePoint now, const UpstreamId &id, std::int64_t born)
+{
+    if (UpstreamRecord *record = find(id, born)) {
+        record->belief.addFailures(now, 1);
+    }
+}
+
+void UpstreamBoard::takeFailure(TimePoint now, const FailureNotice &notice)
+{
+    if (UpstreamRecord *record = findKey(notice.key)) {
+        record->belief.addFailures(now, 1);
+        record->answeredAnyone = true;
+    }
+}
+
+void UpstreamBoard::applyLoad(const PeerLoad &load, int sign)
+{
+    for (const LoadItem &item : load.items) {
+        if (UpstreamRecord *record = findKey(item.key)) {
+            record->otherInFlight = std::max(0, record->otherInFlight + sign * item.inFlight);
+        }
+    }
+}
+
+void UpstreamBoard::takeReport(TimePoint now, const InstanceId &from, const LoadReport &report)
+{
+    PeerLoad &load = m_peers[from];
+    applyLoad(load, -1);
+    load = {now, report.items};
+    applyLoad(load, +1);
+    for (const LoadItem &item : report.items) {
+        UpstreamRecord *record = item.successes > 0 ? findKey(item.key) : nullptr;
+        if (record != nullptr) {
+            record->belief.addSuccesses(now, item.successes);
+            record->answeredAnyone = true;
+        }
+    }
+}
+
+void UpstreamBoard::expireReports(TimePoint now)
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (now - peer->second.at <= reportLifetime) {
+            ++peer;
+            continue;
+        }
+        applyLoad(peer->second, -1);
+        peer = m_peers.erase(peer);
+    }
+}
+
+LoadReport UpstreamBoard::takeOwnReport()
+{
+    LoadReport report;
+    for (auto &[id, record] : m_records) {
+        if (record.ownInFlight > 0 || record.unreportedSuccesses > 0) {
+            report.items.push_back({record.key, record.ownInFlight, record.unreportedSuccesses});
+            record.unreportedSuccesses = 0;
+        }
+    }
+    return report;
+}
+
+double UpstreamBoard::typicalLatency(const ServiceId &service) const
+{
+    std::vector<double> latencies;
+    for (const UpstreamRecord *record : ofService(service)) {
+        if (record->meanLatency > 0) {
+            latencies.push_back(record->meanLatency);
+        }
+    }
+    if (latencies.empty()) {
+        return 0;
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+} // namespace jackdawdoor::fleet
--- /dev/null
+++ b/src/fleet/upstreamcatalogue.cpp
@@ -0,0 +1,110 @@
+#include "fleet/upstreamcatalogue.h"
+
+#include "base/stablehash.h"
+
+#include <set>
+
+namespace jackdawdoor::fleet {
+
+namespace {
+
+/** Removed upstreams whose last report is remembered; beyond it the record starts anew. */
+constexpr std::size_t maximumDeparted = 10000;
+
+} // namespace
+
+bool UpstreamCatalogue::outdated(const UpstreamEntry &entry) const
+{
+    const auto isOld = [&entry](std::int64_t born, std::int64_t sequence) {
+        return entry.born < born || (entry.born == born && entry.sequence <= sequence);
+    };
+    if (const auto known = m_entries.find(entry.id); known != m_entries.end()) {
+        return isOld(known->second.born, known->second.sequence);
+    }
+    const auto departed = m_departed.find(entry.id);
+    return departed != m_departed.end() && isOld(departed->second.born, departed->second.sequence);
+}
+
+CatalogueChange UpstreamCatalogue::apply(const UpstreamEntry &entry)
+{
+    if (outdated(entry)) {
+        return CatalogueChange::Nothing;
+    }
+    const auto [known, isNew] = m_entries.try_emplace(entry.id, entry);
+    if (isNew) {
+        m_departed.erase(entry.id);
+        return CatalogueChange::Added;
+    }
+    const bool restarted = known->second.born != entry.born;
+    const bool same = sameContent(known->second, entry);
+    known->second = entry;
+    if (restarted) {
+        return CatalogueChange::Added;
+    }
+    return same ? CatalogueChange::Nothing : CatalogueChange::Changed;
+}
+
+CatalogueChange UpstreamCatalogue::remove(const UpstreamId &id)
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end()) {
+        return CatalogueChange::Nothing;
+    }
+    if (m_departed.size() >= maximumDeparted) {
+        m_departed.clear();
+    }
+    m_departed[id] = {known->second.born, known->second.sequence};
+    m_entries.erase(known);
+    return CatalogueChange::Removed;
+}
+
+bool UpstreamCatalogue::replace(const std::vector<UpstreamEntry> &entries)
+{
+    bool changed = false;
+    std::set<UpstreamId> listed;
+    for (const UpstreamEntry &entry : entries) {
+        listed.insert(entry.id);
+        changed = apply(entry) != CatalogueChange::Nothing || changed;
+    }
+    std::vector<UpstreamId> missing;
+    for (const auto &[id, entry] : m_entries) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const UpstreamId &id : missing) {
+        remove(id);
+    }
+    return changed || !missing.empty();
+}
+
+std::vector<UpstreamEntry> UpstreamCatalogue::entries() const
+{
+    std::vector<UpstreamEntry> all;
+    all.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        all.push_back(entry);
+    }
+    return all;
+}
+
+const UpstreamEntry *UpstreamCatalogue::find(const UpstreamId &id) const
+{
+    const auto known = m_entries.find(id);
+    return known == m_entries.end() ? nullptr : &known->second;
+}
+
+std::uint64_t UpstreamCatalogue::fingerprint() const
+{
+    std::uint64_t hash = 0;
+    for (const auto &[id, entry] : m_entries) {
+        hash = stableHash(id.value, hash);
+        hash = stableHash(entry.service.value, hash);
+        hash = stableHash(entry.address, hash);
+        hash = stableHash(std::to_string(entry.born), hash);
+        hash = stableHash(std::to_string(entry.slots * 2 + static_cast<int>(entry.status)), hash);
+    }
+    return hash;
+}
+
+} // namespace jackdawdoor::fleet
--- /dev/null
+++ b/src/platform/documents.cpp
@@ -0,0 +1,141 @@
+#include "platform/documents.h"
+
+#include "settings/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace jackdawdoor::platform {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int hexadecimal = 16;
+
+std::uint64_t decodeVersion(const json &value)
+{
+    const auto text = value.get<std::string>();
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version, hexadecimal);
+    return version;
+}
+
+Duration milliseconds(const json &object, const char *key)
+{
+    return fromSeconds(object.value(key, 0.0) / 1000);
+}
+
+/** Requests of these kinds may be repeated; of all others, also unknown ones, nothing says so. */
+routing::Repeatability decodeKind(const std::string &kind)
+{
+    return kind == "safe" || kind == "download" ? routing::Repeatability::Idempotent : routing::Repeatability::Once;
+}
+
+routing::Route decodeRule(const std::string &host, const json &rule)
+{
+    const json &action = rule.at("action");
+    routing::Route route;
+    route.name = rule.value("name", std::string{});
+    route.host = host;
+    route.pathPrefix = rule.at("match").at("path-prefix").get<std::string>();
+    route.repeatability = decodeKind(rule.value("route-type", std::string{}));
+    if (action.contains("traffic-split")) {
+        for (const json &part : action.at("traffic-split")) {
+            route.services.push_back({ServiceId{part.at("service").get<std::string>()}, part.value("weight", 0.0)});
+        }
+    } else {
+        route.services.push_back({ServiceId{action.at("service").get<std::string>()}, 1});
+    }
+    route.timeout = milliseconds(action, "timeout-ms");
+    route.latencyObjective = milliseconds(rule, "slo-latency-ms");
+    route.maxAttempts = action.value("max-attempts", 1);
+    route.priority = rule.value("priority", 0);
+    return route;
+}
+
+routing::CallerLimits decodeLimits(const json &document)
+{
+    routing::CallerLimits limits;
+    if (!document.contains("limits")) {
+        return limits;
+    }
+    const json &in = document.at("limits");
+    limits.maximumHeaderBytes = in.value("max-header-bytes", limits.maximumHeaderBytes);
+    limits.maximumBodyBytes = in.value("max-body-bytes", limits.maximumBodyBytes);
+    if (in.contains("header-timeout-ms")) {
+        limits.headerTimeout = milliseconds(in, "header-timeout-ms");
+    }
+    if (in.contains("idle-timeout-ms")) {
+        limits.idleTimeout = milliseconds(in, "idle-timeout-ms");
+    }
+    return limits;
+}
+
+} // namespace
+
+Result<routing::RouteTablePointer> decodeConfiguration(std::string_view text)
+{
+    try {
+        const json document = json::parse(text);
+        std::vector<routing::Route> routes;
+        for (const json &listener : document.at("listeners")) {
+            const auto host = listener.at("host").get<std::string>();
+            for (const json &rule : listener.at("rules")) {
+                routes.push_back(decodeRule(host, rule));
+                if (routes.back().services.empty()) {
+                    return Error{"decode configuration", "store", "a route has no service"};
+                }
+            }
+        }
+        std::vector<routing::RoutedService> services;
+        for (const json &cluster : document.at("clusters")) {
+            services.push_back({ServiceId{cluster.at("name").get<std::string>()}, cluster.value("max-conns", 0)});
+        }
+        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(decodeVersion(document.at("version")),
+                                                                                      std::move(routes),
+                                                                                      std::move(services),
+                                                                                      decodeLimits(document)));
+    } catch (const json::exception &error) {
+        return Error{"decode configuration", "store", error.what()};
+    }
+}
+
+std::optional<fleet::UpstreamEntry> decodeUpstream(std::string_view key, std::string_view text)
+{
+    try {
+        const json document = json::parse(text);
+        const json &info = document.at("info");
+        const json &status = document.at("status");
+        fleet::UpstreamEntry entry;
+        entry.id = UpstreamId{std::string(key)};
+        entry.address = document.at("address").get<std::string>();
+        entry.service = ServiceId{info.at("service").get<std::string>()};
+        entry.dataCentre = DataCentreId{info.at("zone").get<std::string>()};
+        const json &slots = info.at("slots");
+        const json &sequence = status.at("seq-no");
+        const auto state = status.at("state").get<std::string>();
+        const bool known = state == "ready" || state == "draining";
+        if (!known || !slots.is_number_integer() || !sequence.is_number_integer() || slots.get<int>() < 1 || entry.service.empty()
+            || !settings::parseEndpoint(entry.address).has_value()) {
+            return std::nullopt;
+        }
+        entry.slots = slots.get<int>();
+        entry.sequence = sequence.get<std::int64_t>();
+        entry.status = state == "ready" ? fleet::UpstreamStatus::Ready : fleet::UpstreamStatus::Draining;
+        entry.warmupLeft = milliseconds(status, "warmup-left-ms");
+        // Start of the upstream's incarnation. An entry whose start is not a whole number is another writer's.
+        if (document.contains("born")) {
+            if (!document.at("born").is_number_integer()) {
+                return std::nullopt;
+            }
+            entry.born = document.at("born").get<std::int64_t>();
+        }
+        return entry;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace jackdawdoor::platform
--- /dev/null
+++ b/src/platform/platformsettings.cpp
@@ -0,0 +1,118 @@
+#include "platform/platformsettings.h"
+
+#include "platform/names.h"
+
+#include <toml++/toml.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace jackdawdoor::platform {
+
+namespace {
+
+constexpr const char *step = "read settings";
+
+/** The text of a bound in the list of "name=value", as a number. */
+std::optional<double> findBound(const toml::table &table, std::string_view name)
+{
+    const toml::array *bounds = table["bounds"].as_array();
+    if (bounds == nullptr) {
+        return std::nullopt;
+    }
+    for (const toml::node &node : *bounds) {
+        const std::string text = node.value_or(std::string{});
+        const std::size_t equals = text.find('=');
+        if (equals != std::string::npos && std::string_view(text).substr(0, equals) == name) {
+            char *end = nullptr;
+            const double value = std::strtod(text.c_str() + equals + 1, &end);
+            return *end == '\0' ? std::optional(value) : std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+Result<settings::Endpoint> endpointAt(const toml::node_view<const toml::node> &node, const char *key, const std::string &fileName)
+{
+    const auto text = node.value<std::string>();
+    if (!text) {
+        return Error{step, fileName, std::string(key) + " is missing"};
+    }
+    return settings::parseEndpoint(*text);
+}
+
+/** Ports between instances; the second is used for metrics. */
+constexpr int peerPortIndex = 0;
+constexpr int metricsPortIndex = 1;
+
+} // namespace
+
+std::string settingsPath()
+{
+    const char *path = std::getenv(names::settingsVariable);
+    return path == nullptr ? std::string{} : path;
+}
+
+Result<proxy::ProxySettings> parseSettings(std::string_view text, const std::string &fileName)
+{
+    toml::table table;
+    try {
+        table = toml::parse(text, fileName);
+    } catch (const toml::parse_error &error) {
+        return Error{step, fileName, std::string(error.description())};
+    }
+    const toml::table &root = table;
+    proxy::ProxySettings settings;
+    settings.instance = InstanceId{root["node-name"].value_or(std::string{})};
+    settings.dataCentre = DataCentreId{root["zone"].value_or(std::string{})};
+    const std::string ip = root["ip"].value_or(std::string{});
+    const int peerPort = root["internal-ports"][peerPortIndex].value_or(0);
+    if (settings.instance.empty() || settings.dataCentre.empty() || ip.empty() || peerPort == 0) {
+        return Error{step, fileName, "node-name, zone, ip or internal-ports is missing"};
+    }
+    settings.peers = {ip, peerPort};
+    settings.metrics = {ip, peerPort + metricsPortIndex};
+    const struct {
+        const char *key;
+        toml::node_view<const toml::node> node;
+        settings::Endpoint &endpoint;
+    } endpoints[] = {{"listen.front", root["listen"]["front"], settings.callers},
+                     {"listen.ready", root["listen"]["ready"], settings.readiness},
+                     {"listen.directory", root["listen"]["directory"], settings.directory},
+                     {"platform.address", root["platform"]["address"], settings.store}};
+    for (const auto &wanted : endpoints) {
+        const auto endpoint = endpointAt(wanted.node, wanted.key, fileName);
+        if (!endpoint.has_value()) {
+            return endpoint.error();
+        }
+        wanted.endpoint = endpoint.value();
+    }
+    if (const toml::array *seeds = root["seeds"].as_array()) {
+        for (const toml::node &seed : *seeds) {
+            // A seed names the port of another interface; the port between instances is the same on all machines.
+            const auto endpoint = settings::parseEndpoint(seed.value_or(std::string{}));
+            if (endpoint.has_value()) {
+                settings.seeds.push_back({endpoint.value().host, peerPort});
+            }
+        }
+    }
+    settings.retryLimits.ratio = findBound(root, "retry-budget-ratio").value_or(settings.retryLimits.ratio);
+    settings.retryLimits.slack = findBound(root, "retry-budget-slack").value_or(settings.retryLimits.slack);
+    settings.stopTime = fromSeconds(findBound(root, "grace-s").value_or(toSeconds(settings.stopTime)));
+    settings.directoryHold = fromSeconds(findBound(root, "ttl_max_s").value_or(toSeconds(settings.directoryHold)));
+    return settings;
+}
+
+Result<proxy::ProxySettings> readSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return Error{step, fileName, "cannot be opened"};
+    }
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    return parseSettings(text, fileName);
+}
+
+} // namespace jackdawdoor::platform
--- /dev/null
+++ b/src/platform/storeclient.cpp
@@ -0,0 +1,310 @@
+#include "platform/storeclient.h"
+
+#include "platform/documents.h"
+#include "platform/names.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace jackdawdoor::platform {
+
+namespace {
+
+/** An answer takes 4 ms; a slow store takes some hundred times as long on bad days. */
+constexpr Duration callTimeout = std::chrono::milliseconds{1500};
+constexpr int ok = 200;
+constexpr int gone = 410;
+constexpr std::size_t maximumIdle = 2;
+
+Error storeError(const char *call, const std::string &reason)
+{
+    return {call, "store", reason};
+}
+
+proxy::UpstreamChange decodeChange(const KeyedRecord &record, proxy::UpstreamReading &reading)
+{
+    proxy::UpstreamChange change{UpstreamId{record.key}, true, {}};
+    if (record.value.empty()) {
+        return change;
+    }
+    if (auto entry = decodeUpstream(record.key, record.value)) {
+        change.removed = false;
+        change.entry = std::move(*entry);
+    } else {
+        ++reading.unreadable;
+    }
+    return change;
+}
+
+/** Adds records. An unreadable entry names no upstream to use; it does not remove one either, since its key may be
+ * another's. */
+void addChanges(const std::vector<KeyedRecord> &records, proxy::UpstreamReading &reading)
+{
+    for (const KeyedRecord &record : records) {
+        const int unreadable = reading.unreadable;
+        proxy::UpstreamChange change = decodeChange(record, reading);
+        if (unreadable == reading.unreadable) {
+            reading.changes.push_back(std::move(change));
+        }
+    }
+}
+
+} // namespace
+
+/** One call in progress. */
+struct StoreClient::Call {
+    Call(net::EventLoop &loop, const char *callName, AnswerHook onDone, std::function<void()> onTimeout)
+        : name(callName)
+        , hook(std::move(onDone))
+        , timer(loop, std::move(onTimeout))
+    {
+    }
+
+    const char *name;
+    AnswerHook hook;
+    net::Timer timer;
+    std::unique_ptr<proxy::UpstreamLink> link;
+    Answer answer;
+};
+
+StoreClient::StoreClient(net::EventLoop &loop, settings::Endpoint store)
+    : m_loop(loop)
+    , m_store(std::move(store))
+{
+}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::setStore(const settings::Endpoint &store)
+{
+    if (store != m_store) {
+        m_store = store;
+        m_idle.clear();
+    }
+}
+
+void StoreClient::call(const char *name,
+                       const std::string &method,
+                       const std::string &target,
+                       const std::string &body,
+                       Duration timeout,
+                       AnswerHook hook)
+{
+    auto holder = std::make_shared<Call *>(nullptr);
+    auto owned = std::make_unique<Call>(m_loop, name, std::move(hook), [this, holder, name] {
+        endCall(*holder, storeError(name, "no answer in time"));
+    });
+    Call *call = owned.get();
+    *holder = call;
+    m_calls.emplace(call, std::move(owned));
+    while (!m_idle.empty() && !call->link) {
+        if (m_idle.back()->reusable()) {
+            call->link = std::move(m_idle.back());
+        }
+        m_idle.pop_back();
+    }
+    if (!call->link) {
+        call->link = std::make_unique<proxy::UpstreamLink>(m_loop, m_store, std::string{});
+    }
+    std::string bytes = method + " " + target + " HTTP/1.1\r\nHost: " + m_store.text() + "\r\n";
+    if (!body.empty()) {
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    bytes += "\r\n" + body;
+    call->timer.set(timeout);
+    call->link->send(bytes,
+                     {},
+                     false,
+                     {[call](const proxy::MessageHead &head) {
+                          call->answer.status = head.status;
+                      },
+                      [call](std::string_view piece) {
+                          call->answer.body.append(piece);
+                      },
+                      [this, call] {
+                          endCall(call, std::move(call->answer));
+                      },
+                      [this, call](proxy::LinkFailure failure) {
+                          endCall(call, storeError(call->name, proxy::failureName(failure)));
+                      }});
+}
+
+void StoreClient::endCall(Call *call, const Result<Answer> &answer)
+{
+    const auto position = m_calls.find(call);
+    const std::unique_ptr<Call> owned = std::move(position->second);
+    m_calls.erase(position);
+    const bool answered = answer.has_value();
+    if (answered && call->link->reusable() && m_idle.size() < maximumIdle) {
+        m_idle.push_back(std::move(call->link));
+    }
+    m_onCall(call->name, answered && answer.value().status == ok);
+    call->hook(answer);
+}
+
+void StoreClient::newest(const char *topic, const std::string &after, std::shared_ptr<NewestPage> collected, Continuation<NewestPage> done)
+{
+    std::string target = std::string("/v1/log-newest?topic=") + topic + "&part=0";
+    if (!after.empty()) {
+        target += "&after=" + after;
+    }
+    call("log-newest", "GET", target, {}, callTimeout, [this, topic, collected, done](const Result<Answer> &answer) {
+        if (!answer.has_value()) {
+            done(answer.error());
+            return;
+        }
+        auto page = answer.value().status == ok ? decodeNewest(answer.value().body) : std::nullopt;
+        if (!page) {
+            done(storeError("log-newest", "status " + std::to_string(answer.value().status)));
+            return;
+        }
+        // Pages are not a snapshot: what changed after the first one is read from its end on.
+        collected->next = collected->records.empty() ? page->next : std::min(collected->next, page->next);
+        collected->records.insert(collected->records.end(), page->records.begin(), page->records.end());
+        if (page->hasMore && !page->records.empty()) {
+            newest(topic, page->records.back().key, collected, done);
+            return;
+        }
+        done(*collected);
+    });
+}
+
+void StoreClient::changes(const char *topic, proxy::StoreOffset from, Duration wait, Continuation<LogRecords> done)
+{
+    const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    const std::string target = std::string("/v1/log-read?topic=") + topic + "&part=0&from=" + std::to_string(from)
+        + "&wait-ms=" + std::to_string(waitMilliseconds);
+    call("log-read", "GET", target, {}, callTimeout + wait, [from, done](const Result<Answer> &answer) {
+        if (!answer.has_value()) {
+            done(answer.error());
+            return;
+        }
+        auto records = answer.value().status == ok ? decodeRecords(answer.value().body, from) : std::nullopt;
+        if (!records) {
+            done(storeError("log-read", answer.value().status == gone ? "gone" : "status " + std::to_string(answer.value().status)));
+            return;
+        }
+        done(std::move(*records));
+    });
+}
+
+void StoreClient::readConfiguration(proxy::StoreOffset from, Duration wait, const Continuation<proxy::ConfigurationReading> &done)
+{
+    const auto pick = [](const std::vector<KeyedRecord> &records) {
+        std::string text;
+        for (const KeyedRecord &record : records) {
+            if (record.key == names::configurationKey) {
+                text = record.value;
+            }
+        }
+        return text;
+    };
+    if (from == 0) {
+        newest(names::operatorTopic, {}, std::make_shared<NewestPage>(), [done, pick](const Result<NewestPage> &page) {
+            if (!page.has_value()) {
+                done(page.error());
+                return;
+            }
+            done(proxy::ConfigurationReading{pick(page.value().records), page.value().next});
+        });
+        return;
+    }
+    changes(names::operatorTopic, from, wait, [this, done, pick, wait](const Result<LogRecords> &records) {
+        if (records.has_value()) {
+            done(proxy::ConfigurationReading{pick(records.value().records), records.value().next});
+        } else if (records.error().reason == "gone") {
+            readConfiguration(0, wait, done);
+        } else {
+            done(records.error());
+        }
+    });
+}
+
+void StoreClient::readUpstreams(proxy::StoreOffset from, const Continuation<proxy::UpstreamReading> &done)
+{
+    if (from == 0) {
+        newest(names::upstreamTopic, {}, std::make_shared<NewestPage>(), [done](const Result<NewestPage> &page) {
+            if (!page.has_value()) {
+                done(page.error());
+                return;
+            }
+            proxy::UpstreamReading reading;
+            reading.next = page.value().next;
+            reading.complete = true;
+            addChanges(page.value().records, reading);
+            done(std::move(reading));
+        });
+        return;
+    }
+    changes(names::upstreamTopic, from, Duration::zero(), [this, done](const Result<LogRecords> &records) {
+        if (records.has_value()) {
+            proxy::UpstreamReading reading;
+            reading.next = records.value().next;
+            addChanges(records.value().records, reading);
+            done(std::move(reading));
+        } else if (records.error().reason == "gone") {
+            readUpstreams(0, done);
+        } else {
+            done(records.error());
+        }
+    });
+}
+
+void StoreClient::registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done)
+{
+    const std::string value = nlohmann::json{{"address", self.address}, {"zone", self.dataCentre.value}}.dump();
+    const std::string target = std::string("/v1/log-append?topic=") + names::instanceTopic + "&part=0";
+    call("log-append", "POST", target, encodeRecord(self.id.value, value), callTimeout, [done](const Result<Answer> &answer) {
+        if (!answer.has_value()) {
+            done(answer.error());
+        } else if (answer.value().status != ok) {
+            done(storeError("log-append", "status " + std::to_string(answer.value().status)));
+        } else {
+            done(true);
+        }
+    });
+}
+
+void StoreClient::listInstances(const Continuation<membership::InstanceList> &done)
+{
+    newest(names::instanceTopic, {}, std::make_shared<NewestPage>(), [done](const Result<NewestPage> &page) {
+        if (!page.has_value()) {
+            done(page.error());
+            return;
+        }
+        membership::InstanceList list;
+        for (const KeyedRecord &record : page.value().records) {
+            const auto document = nlohmann::json::parse(record.value, nullptr, false);
+            if (document.is_object()) {
+                list.instances.push_back({InstanceId{record.key},
+                                          document.value("address", std::string{}),
+                                          DataCentreId{document.value("zone", std::string{})},
+                                          false});
+            }
+        }
+        done(std::move(list));
+    });
+}
+
+proxy::StoreAccess StoreClient::access(std::function<void(const char *call, bool succeeded)> onCall)
+{
+    m_onCall = std::move(onCall);
+    proxy::StoreAccess hooks;
+    hooks.readConfiguration = [this](proxy::StoreOffset from, Duration wait, const auto &done) {
+        readConfiguration(from, wait, done);
+    };
+    hooks.readUpstreams = [this](proxy::StoreOffset from, const auto &done) {
+        readUpstreams(from, done);
+    };
+    hooks.registerInstance = [this](const membership::ListedInstance &self, const auto &done) {
+        registerInstance(self, done);
+    };
+    hooks.listInstances = [this](const auto &done) {
+        listInstances(done);
+    };
+    hooks.decodeConfiguration = decodeConfiguration;
+    return hooks;
+}
+
+} // namespace jackdawdoor::platform
--- /dev/null
+++ b/src/proxy/attempt.cpp
@@ -0,0 +1,145 @@
+#include "proxy/attempt.h"
+
+#include <utility>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+/** Answers up to this size are complete before a byte is passed on, so that a broken one can be replaced. */
+constexpr std::size_t keptAnswerBytes = std::size_t{768} * 1024;
+
+bool isReplaced(const net::Header &header, const HeaderNames &names)
+{
+    return net::equalsIgnoreCase(header.name, names.deadline) || net::equalsIgnoreCase(header.name, names.intendedUpstream)
+        || net::equalsIgnoreCase(header.name, "Content-Length") || net::equalsIgnoreCase(header.name, "Expect")
+        || net::equalsIgnoreCase(header.name, "Keep-Alive");
+}
+
+} // namespace
+
+std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
+{
+    const MessageHead &head = *request.head;
+    std::string out;
+    out.reserve(request.body->size() + 1024);
+    out += head.method + " " + head.target + " HTTP/1.1\r\n";
+    for (const net::Header &header : net::withoutHopByHop(head.headers)) {
+        if (!isReplaced(header, names)) {
+            out += header.name;
+            out += ": ";
+            out += header.value;
+            out += "\r\n";
+        }
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline).count();
+    out += names.deadline + ": " + std::to_string(milliseconds) + "\r\n";
+    out += names.intendedUpstream + ": " + upstream.id.value + "\r\n";
+    if (head.contentLength.value_or(0) > 0 || head.chunked || head.method == "POST" || head.method == "PUT") {
+        out += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
+    }
+    out += "\r\n";
+    out += *request.body;
+    return out;
+}
+
+Attempt::Attempt(LinkPool &pool, const HeaderNames &names, fleet::UpstreamEntry upstream, Hooks hooks)
+    : m_pool(pool)
+    , m_names(names)
+    , m_upstream(std::move(upstream))
+    , m_hooks(std::move(hooks))
+{
+}
+
+Attempt::~Attempt() = default;
+
+void Attempt::start(TimePoint now, const AttemptRequest &request)
+{
+    m_started = now;
+    m_requestId = request.requestId;
+    m_link = m_pool.take(now, m_upstream, request.maximumIdle, m_result.freshConnection);
+    LinkHooks hooks;
+    hooks.onHead = [this](const MessageHead &head) {
+        m_result.head = head;
+    };
+    hooks.onBody = [this](std::string_view bytes) {
+        onBody(bytes);
+    };
+    hooks.onComplete = [this] {
+        onComplete();
+    };
+    hooks.onFailure = [this](LinkFailure failure) {
+        onFailure(failure);
+    };
+    m_link->send(upstreamRequest(request, m_upstream, m_names), m_requestId, request.head->method == "HEAD", std::move(hooks));
+}
+
+void Attempt::onBody(std::string_view bytes)
+{
+    if (m_streaming) {
+        m_hooks.onPiece(*this, bytes);
+        return;
+    }
+    m_result.body.append(bytes);
+    if (m_result.body.size() <= keptAnswerBytes) {
+        return;
+    }
+    m_result.meaning = judgeAnswer(m_result.head, m_requestId, m_names);
+    m_streaming = m_hooks.onLarge(*this);
+    if (m_streaming) {
+        m_result.body.clear();
+    }
+}
+
+void Attempt::onComplete()
+{
+    m_result.took = age(net::now());
+    m_result.meaning = judgeAnswer(m_result.head, m_requestId, m_names);
+    m_pool.put(m_upstream, std::move(m_link));
+    m_hooks.onEnd(*this);
+}
+
+void Attempt::onFailure(LinkFailure failure)
+{
+    m_result.took = age(net::now());
+    const bool unsent = failure == LinkFailure::NotConnected || failure == LinkFailure::ConnectTimeout;
+    m_result.meaning = {unsent ? routing::AttemptEnd::Unreachable : routing::AttemptEnd::Broken,
+                        unsent ? fleet::AttemptOutcome::Unreachable : fleet::AttemptOutcome::Failed,
+                        failureName(failure)};
+    m_pool.drop(m_upstream);
+    m_hooks.onEnd(*this);
+}
+
+const fleet::UpstreamEntry &Attempt::upstream() const
+{
+    return m_upstream;
+}
+
+const AttemptResult &Attempt::result() const
+{
+    return m_result;
+}
+
+Duration Attempt::age(TimePoint now) const
+{
+    return now - m_started;
+}
+
+bool Attempt::mayHaveRun() const
+{
+    return m_link == nullptr || m_link->connected();
+}
+
+bool Attempt::markOverdue()
+{
+    return !std::exchange(m_overdue, true);
+}
+
+void Attempt::pauseReading(bool paused)
+{
+    if (m_link) {
+        m_link->pauseReading(paused);
+    }
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/callerconnection.cpp
@@ -0,0 +1,325 @@
+#include "proxy/callerconnection.h"
+
+#include "proxy/upstreamlink.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+/** What a caller may send ahead while its earlier request is answered. */
+constexpr std::size_t maximumReadAheadBytes = std::size_t{128} * 1024;
+/** A body may pause for this long between two reads. */
+constexpr Duration bodyTimeout = std::chrono::seconds{30};
+
+void appendHead(std::string &out, int status, const net::Headers &headers)
+{
+    out += "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    for (const net::Header &header : headers) {
+        out += header.name;
+        out += ": ";
+        out += header.value;
+        out += "\r\n";
+    }
+}
+
+std::string chunkHead(std::size_t size)
+{
+    char text[24];
+    const int length = std::snprintf(text, sizeof(text), "%zx\r\n", size);
+    return {text, static_cast<std::size_t>(length)};
+}
+
+bool hasBody(int status)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status != noContent && status != notModified;
+}
+
+} // namespace
+
+const char *reasonPhrase(int status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+CallerConnection::CallerConnection(net::EventLoop &loop, int socket, const routing::CallerLimits &limits, const CallerHooks &hooks)
+    : m_loop(loop)
+    , m_limits(limits)
+    , m_hooks(hooks)
+    , m_parser(MessageParser::Kind::Request,
+               {[this](MessageHead &&head) {
+                    takeHead(std::move(head));
+                },
+                [this](std::string_view bytes) {
+                    takeBody(bytes);
+                },
+                [this] {
+                    takeComplete();
+                }})
+    , m_timer(loop,
+              [this] {
+                  if (m_receiving) {
+                      reject(HTTP_STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
+                  } else {
+                      endLater();
+                  }
+              })
+    , m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+{
+    detectSilence(socket);
+    bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
+    bufferevent_setwatermark(m_socket, EV_READ, 0, maximumReadAheadBytes);
+    bufferevent_enable(m_socket, EV_READ | EV_WRITE);
+    armIdleTimer();
+}
+
+CallerConnection::~CallerConnection()
+{
+    *m_alive = false;
+    bufferevent_free(m_socket);
+}
+
+void CallerConnection::armIdleTimer()
+{
+    m_timer.set(m_limits.idleTimeout);
+}
+
+void CallerConnection::onRead(bufferevent * /*socket*/, void *self)
+{
+    static_cast<CallerConnection *>(self)->readInput();
+}
+
+void CallerConnection::readInput()
+{
+    evbuffer *input = bufferevent_get_input(m_socket);
+    while (!m_busy && !m_ended && !m_closing && evbuffer_get_length(input) > 0) {
+        if (!m_receiving) {
+            m_receiving = true;
+            m_request = {};
+            m_request.received = net::now();
+            m_timer.set(m_limits.headerTimeout);
+        }
+        const std::size_t length = evbuffer_get_contiguous_space(input);
+        const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+        const std::size_t used = m_parser.feed(std::string_view(bytes, length));
+        evbuffer_drain(input, used);
+        if (m_parser.failed()) {
+            reject(HTTP_STATUS_BAD_REQUEST, "malformed request");
+        } else if (m_tooLarge) {
+            reject(HTTP_STATUS_PAYLOAD_TOO_LARGE, "the body is too large");
+        } else if (m_parser.inMessage() && m_parser.headBytes() > m_limits.maximumHeaderBytes) {
+            reject(HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
+        }
+    }
+}
+
+void CallerConnection::takeHead(MessageHead &&head)
+{
+    m_request.head = std::move(head);
+    m_timer.set(bodyTimeout);
+    m_tooLarge = m_request.head.contentLength.value_or(0) > m_limits.maximumBodyBytes;
+    if (!net::findHeader(m_request.head.headers, "Expect").empty()) {
+        constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(m_socket, goOn.data(), goOn.size());
+    }
+}
+
+void CallerConnection::takeBody(std::string_view bytes)
+{
+    m_tooLarge = m_tooLarge || m_request.body.size() + bytes.size() > m_limits.maximumBodyBytes;
+    if (!m_tooLarge) {
+        m_request.body.append(bytes);
+    }
+}
+
+void CallerConnection::takeComplete()
+{
+    m_timer.cancel();
+    m_receiving = false;
+    m_busy = true;
+    m_closeAfterAnswer = m_closeAfterAnswer || !m_request.head.keepAlive;
+    m_noBody = m_request.head.method == "HEAD";
+    m_http10 = m_request.head.http10;
+    // The parser's caller still drains the input, so the request is handed on from the loop.
+    m_loop.post([this, alive = m_alive] {
+        if (*alive && !m_ended) {
+            m_hooks.onRequest(*this, std::move(m_request));
+        }
+    });
+}
+
+void CallerConnection::reject(int status, const char *reason)
+{
+    m_timer.cancel();
+    m_busy = true;
+    m_receiving = false;
+    m_closeAfterAnswer = true;
+    m_hooks.onRejected(*this, status, reason);
+    reply(status, {}, std::string(reason) + "\n");
+}
+
+void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
+{
+    if (!m_busy || m_ended) {
+        return;
+    }
+    std::string out;
+    out.reserve(body.size() + 512);
+    appendHead(out, status, headers);
+    if (hasBody(status)) {
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!m_noBody && hasBody(status)) {
+        out += body;
+    }
+    bufferevent_write(m_socket, out.data(), out.size());
+    answerEnded();
+}
+
+void CallerConnection::start(int status, const net::Headers &headers, std::optional<std::uint64_t> length)
+{
+    std::string out;
+    appendHead(out, status, headers);
+    m_chunked = !length && !m_http10;
+    m_closeAfterAnswer = m_closeAfterAnswer || (!length && m_http10);
+    if (length) {
+        out += "Content-Length: " + std::to_string(*length) + "\r\n";
+    } else if (m_chunked) {
+        out += "Transfer-Encoding: chunked\r\n";
+    }
+    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    bufferevent_write(m_socket, out.data(), out.size());
+}
+
+void CallerConnection::sendBody(std::string_view bytes)
+{
+    if (m_ended || m_noBody || bytes.empty()) {
+        return;
+    }
+    if (m_chunked) {
+        const std::string head = chunkHead(bytes.size());
+        bufferevent_write(m_socket, head.data(), head.size());
+    }
+    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    if (m_chunked) {
+        bufferevent_write(m_socket, "\r\n", 2);
+    }
+}
+
+void CallerConnection::finish()
+{
+    if (m_ended) {
+        return;
+    }
+    if (m_chunked && !m_noBody) {
+        constexpr std::string_view last = "0\r\n\r\n";
+        bufferevent_write(m_socket, last.data(), last.size());
+    }
+    answerEnded();
+}
+
+void CallerConnection::answerEnded()
+{
+    m_busy = false;
+    m_chunked = false;
+    if (m_closeAfterAnswer) {
+        m_closing = true;
+        if (evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
+            endLater();
+        } else {
+            armIdleTimer();
+        }
+        return;
+    }
+    armIdleTimer();
+    m_loop.post([this, alive = m_alive] {
+        if (*alive) {
+            readInput();
+        }
+    });
+}
+
+void CallerConnection::abort()
+{
+    if (m_ended) {
+        return;
+    }
+    // An orderly close would look like the end of an answer that is delimited by the close.
+    const linger immediately{1, 0};
+    setsockopt(bufferevent_getfd(m_socket), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    m_busy = false;
+    endLater();
+}
+
+std::size_t CallerConnection::unsent() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_socket));
+}
+
+void CallerConnection::beginClose(bool closeIdle)
+{
+    m_closeAfterAnswer = true;
+    if (closeIdle && idle()) {
+        m_closing = true;
+        endLater();
+    }
+}
+
+bool CallerConnection::busy() const
+{
+    return m_busy;
+}
+
+bool CallerConnection::idle() const
+{
+    return !m_busy && !m_receiving && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
+}
+
+void CallerConnection::onWritten(bufferevent * /*socket*/, void *self)
+{
+    auto *connection = static_cast<CallerConnection *>(self);
+    if (connection->m_closing && !connection->m_busy) {
+        connection->endLater();
+    }
+}
+
+void CallerConnection::onEvent(bufferevent * /*socket*/, short /*what*/, void *self)
+{
+    auto *connection = static_cast<CallerConnection *>(self);
+    if (connection->m_ended) {
+        return;
+    }
+    if (connection->m_busy) {
+        connection->m_busy = false;
+        connection->m_hooks.onGone(*connection);
+    }
+    connection->endLater();
+}
+
+void CallerConnection::endLater()
+{
+    if (m_ended) {
+        return;
+    }
+    m_ended = true;
+    m_timer.cancel();
+    bufferevent_disable(m_socket, EV_READ);
+    m_loop.post([this, alive = m_alive] {
+        if (*alive) {
+            m_hooks.onEnd(*this);
+        }
+    });
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/datagramsocket.h
@@ -0,0 +1,41 @@
+/** UDP socket for the messages between instances. */
+#pragma once
+
+#include "base/error.h"
+#include "net/eventloop.h"
+#include "settings/settings.h"
+
+#include <functional>
+#include <string_view>
+
+struct event;
+
+namespace jackdawdoor::proxy {
+
+/** Sends and receives whole datagrams. A datagram that the system does not take is lost, as on the network. */
+class DatagramSocket
+{
+public:
+    using Receiver = std::function<void(std::string_view bytes, const settings::Endpoint &from)>;
+
+    DatagramSocket(net::EventLoop &loop, Receiver receiver);
+    ~DatagramSocket();
+    DatagramSocket(const DatagramSocket &) = delete;
+    DatagramSocket &operator=(const DatagramSocket &) = delete;
+
+    /** Binds; the result is the bound endpoint with its real port. */
+    Result<settings::Endpoint> bind(const settings::Endpoint &endpoint);
+
+    void send(const settings::Endpoint &to, std::string_view bytes) const;
+
+private:
+    static void onReadable(int socket, short what, void *self);
+    void receive();
+
+    net::EventLoop &m_loop;
+    Receiver m_receiver;
+    event *m_event = nullptr;
+    int m_socket = -1;
+};
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,401 @@
+#include "proxy/exchange.h"
+
+#include "base/stablehash.h"
+#include "proxy/proxylog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+constexpr int notFound = 404;
+/** For a caller that states no deadline. */
+constexpr Duration defaultDeadline = std::chrono::seconds{10};
+/** The answer must reach the caller before it gives up. */
+constexpr Duration answerMargin = std::chrono::milliseconds{25};
+/** Part of the latency objective that a request may wait for an upstream with room. */
+constexpr int waitDivisor = 8;
+constexpr Duration defaultWait = std::chrono::milliseconds{200};
+/** Time between two looks for an upstream with room. */
+constexpr Duration waitStep = std::chrono::milliseconds{20};
+/** A request that runs once goes only over connections that answered this recently, or over new ones: a connection may
+ * have gone silent, and then it is not known whether the request has run. */
+constexpr Duration provenConnection = std::chrono::milliseconds{1000};
+constexpr Duration anyConnection = std::chrono::seconds{60};
+/** A run counts as overdue after so many typical times, and not before the shortest. */
+constexpr double overdueFactor = 4;
+constexpr Duration shortestOverdue = std::chrono::milliseconds{1200};
+/** When a refused caller should come back, in seconds: a slot is free by then, and it leaves time for another attempt. */
+constexpr double shortestReturn = 0.25;
+constexpr double returnSpread = 0.5;
+/** Answer bytes that may wait for a slow caller before reading from the upstream pauses. */
+constexpr std::size_t maximumUnsent = std::size_t{512} * 1024;
+
+Duration statedDeadline(const MessageHead &head, const HeaderNames &names)
+{
+    const auto stated = net::parseNumber(net::findHeader(head.headers, names.deadline));
+    return stated ? Duration{std::chrono::milliseconds{*stated}} : defaultDeadline;
+}
+
+std::string secondsText(double seconds)
+{
+    char text[32];
+    const int length = std::snprintf(text, sizeof(text), "%.2f", seconds);
+    return {text, static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+Exchange::Exchange(RequestContext &context, CallerConnection &caller, CallerRequest &&request)
+    : m_context(context)
+    , m_caller(caller)
+    , m_request(std::move(request))
+    , m_requestId(net::findHeader(m_request.head.headers, context.names.requestId))
+    , m_table(context.routes)
+    , m_timer(context.loop,
+              [this] {
+                  onTimeout();
+              })
+    , m_waitTimer(context.loop, [this] {
+        tryAttempt(net::now());
+    })
+{
+}
+
+Exchange::~Exchange()
+{
+    if (!m_done) {
+        releaseAttempts(net::now());
+    }
+}
+
+const routing::Route &Exchange::route() const
+{
+    return *m_route;
+}
+
+bool Exchange::repeatable() const
+{
+    return route().repeatability == routing::Repeatability::Idempotent;
+}
+
+void Exchange::begin()
+{
+    const TimePoint now = net::now();
+    if (!m_table) {
+        refuse(now, "no-configuration");
+        return;
+    }
+    const std::string &target = m_request.head.target;
+    const std::string host = net::findHeader(m_request.head.headers, "Host");
+    m_route = m_table->match(host, std::string_view(target).substr(0, target.find('?')));
+    if (m_route == nullptr) {
+        fail(now, notFound, "no-route");
+        return;
+    }
+    m_deadline = m_request.received + statedDeadline(m_request.head, m_context.names) - answerMargin;
+    if (route().timeout > Duration::zero()) {
+        m_deadline = std::min(m_deadline, m_request.received + route().timeout);
+    }
+    const Duration patience = route().latencyObjective > Duration::zero() ? route().latencyObjective / waitDivisor : defaultWait;
+    m_waitUntil = m_request.received + patience;
+    m_service = m_context.split.next(route());
+    m_fingerprint = stableHash(m_request.body, stableHash(m_request.head.method + " " + target));
+    if (m_context.stopping) {
+        refuse(now, "stopping");
+        return;
+    }
+    if (m_context.crashes.refused(m_fingerprint)) {
+        fail(now, badGateway, "crashes-upstreams");
+        return;
+    }
+    m_context.budgetOf(m_service).onOriginal();
+    m_timer.set(m_deadline - now);
+    tryAttempt(now);
+}
+
+void Exchange::tryAttempt(TimePoint now)
+{
+    const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried};
+    const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
+    if (choice.upstream == nullptr) {
+        waitForRoom(now, choice);
+        return;
+    }
+    startAttempt(now, choice);
+}
+
+void Exchange::waitForRoom(TimePoint now, const fleet::UpstreamChoice &choice)
+{
+    if (now < m_waitUntil) {
+        m_waitTimer.set(waitStep);
+        return;
+    }
+    if (!m_attempts.empty()) {
+        return; // another attempt is still running
+    }
+    if (m_mayHaveRun) {
+        fail(now, badGateway, fleet::reasonName(choice.reason));
+        return;
+    }
+    refuse(now, fleet::reasonName(choice.reason));
+}
+
+Duration Exchange::maximumIdle() const
+{
+    return repeatable() ? anyConnection : provenConnection;
+}
+
+void Exchange::startAttempt(TimePoint now, const fleet::UpstreamChoice &choice)
+{
+    fleet::UpstreamRecord &record = *choice.upstream;
+    ++m_sends;
+    m_tried.push_back(record.entry.id);
+    m_context.board.begin(record);
+    logChoice(m_requestId, m_service, choice, *m_table, m_sends);
+    Attempt::Hooks hooks;
+    hooks.onEnd = [this](Attempt &attempt) {
+        attemptEnded(attempt);
+    };
+    hooks.onLarge = [this](Attempt &attempt) {
+        return takeOver(attempt);
+    };
+    hooks.onPiece = [this](Attempt &attempt, std::string_view bytes) {
+        passPiece(attempt, bytes);
+    };
+    m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.names, record.entry, std::move(hooks)));
+    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle()};
+    m_attempts.back()->start(now, request);
+}
+
+void Exchange::settle(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
+{
+    const fleet::UpstreamEntry &upstream = attempt.upstream();
+    const std::uint32_t key = fleet::upstreamKey(upstream.id, upstream.born);
+    m_context.board.end(now, upstream.id, upstream.born, outcome, attempt.age(now));
+    if (outcome == fleet::AttemptOutcome::Failed || outcome == fleet::AttemptOutcome::TimedOut) {
+        m_context.broadcast(fleet::FailureNotice{key});
+    }
+    if (attempt.result().meaning.end == routing::AttemptEnd::Broken && outcome == fleet::AttemptOutcome::Failed) {
+        m_context.crashes.noteBroken(now, m_fingerprint, key);
+    }
+    if (outcome == fleet::AttemptOutcome::Unreachable) {
+        for (const std::uint64_t suspect : m_context.crashes.noteUnreachable(now, key)) {
+            m_context.crashes.noteCrash(now, suspect, key);
+            m_context.broadcast(fleet::CrashNotice{suspect, key});
+        }
+    }
+}
+
+void Exchange::attemptEnded(Attempt &attempt)
+{
+    const TimePoint now = net::now();
+    const AnswerMeaning meaning = attempt.result().meaning;
+    settle(now, attempt, meaning.outcome);
+    m_context.metrics.countAttempt(m_service.value, meaning.reason);
+    logAttempt(m_requestId, m_service, attempt, now);
+    const auto position = std::find_if(m_attempts.begin(), m_attempts.end(), [&attempt](const auto &other) {
+        return other.get() == &attempt;
+    });
+    m_endedAttempts.push_back(std::move(*position));
+    m_attempts.erase(position);
+    if (m_streaming == &attempt) {
+        if (meaning.end == routing::AttemptEnd::Answered) {
+            m_caller.finish();
+            finish(now, attempt.result().head.status, "streamed");
+        } else {
+            m_caller.abort();
+            finish(now, 0, "broken-stream");
+        }
+        return;
+    }
+    m_runs += routing::mayHaveRun(meaning.end) ? 1 : 0;
+    m_mayHaveRun = m_mayHaveRun || routing::mayHaveRun(meaning.end);
+    limits::RetryBudget &budget = m_context.budgetOf(m_service);
+    const bool free = meaning.end == routing::AttemptEnd::Unreachable;
+    const bool allowed = meaning.end != routing::AttemptEnd::Answered && !free && budget.balance() >= 1;
+    const routing::NextStep step = routing::nextStep(
+        {route().repeatability, meaning.end, m_mayHaveRun, m_runs, m_sends, std::max(1, route().maxAttempts), allowed, m_deadline - now});
+    if (step != routing::NextStep::Deliver && !m_attempts.empty()) {
+        return; // a hedge is still running
+    }
+    switch (step) {
+    case routing::NextStep::Deliver:
+        deliver(attempt);
+        return;
+    case routing::NextStep::Retry:
+        if (!free) {
+            static_cast<void>(budget.tryRetry());
+        }
+        tryAttempt(now);
+        return;
+    case routing::NextStep::RefuseNotRun:
+        refuse(now, meaning.reason);
+        return;
+    case routing::NextStep::FailUnknown:
+        fail(now, badGateway, meaning.reason);
+        return;
+    }
+}
+
+bool Exchange::takeOver(Attempt &attempt)
+{
+    if (m_streaming != nullptr || attempt.result().meaning.end != routing::AttemptEnd::Answered) {
+        return false;
+    }
+    m_streaming = &attempt;
+    const MessageHead &head = attempt.result().head;
+    m_caller.start(head.status, answerHeaders(head, m_context.names), head.contentLength);
+    m_caller.sendBody(attempt.result().body);
+    return true;
+}
+
+void Exchange::passPiece(Attempt &attempt, std::string_view bytes)
+{
+    m_caller.sendBody(bytes);
+    if (m_caller.unsent() > maximumUnsent) {
+        attempt.pauseReading(true);
+    }
+}
+
+void Exchange::deliver(const Attempt &attempt)
+{
+    const AttemptResult &result = attempt.result();
+    m_caller.reply(result.head.status, answerHeaders(result.head, m_context.names), result.body);
+    finish(net::now(), result.head.status, result.meaning.reason);
+}
+
+net::Headers Exchange::ownHeaders() const
+{
+    net::Headers headers;
+    if (!m_requestId.empty()) {
+        headers.push_back({m_context.names.requestId, m_requestId});
+    }
+    return headers;
+}
+
+void Exchange::refuse(TimePoint now, const char *reason)
+{
+    net::Headers headers = ownHeaders();
+    headers.push_back({"Retry-After", secondsText(shortestReturn + returnSpread * uniform(m_context.random))});
+    m_caller.reply(unavailable, headers, "not run\n");
+    finish(now, unavailable, reason);
+}
+
+void Exchange::fail(TimePoint now, int status, const char *reason)
+{
+    m_caller.reply(status, ownHeaders(), std::string(reason) + "\n");
+    finish(now, status, reason);
+}
+
+void Exchange::onTimeout()
+{
+    const TimePoint now = net::now();
+    bool running = m_mayHaveRun;
+    for (const auto &attempt : m_attempts) {
+        running = running || attempt->mayHaveRun();
+        settle(now, *attempt, fleet::AttemptOutcome::TimedOut);
+    }
+    // Not called from a hook of an attempt, so they may go at once; their upstreams drop the work.
+    m_attempts.clear();
+    if (m_streaming != nullptr) {
+        m_caller.abort();
+        finish(now, 0, "timeout-in-stream");
+        return;
+    }
+    if (running) {
+        fail(now, gatewayTimeout, "timeout");
+    } else {
+        refuse(now, "timeout-not-run");
+    }
+}
+
+void Exchange::finish(TimePoint now, int status, const char *reason)
+{
+    if (m_done) {
+        return;
+    }
+    m_done = true;
+    m_timer.cancel();
+    m_waitTimer.cancel();
+    releaseAttempts(now);
+    m_context.metrics.countRequest(reason, now - m_request.received);
+    logRequest(m_requestId, m_route, status, reason, m_sends, now - m_request.received);
+}
+
+void Exchange::releaseAttempts(TimePoint now)
+{
+    for (const auto &attempt : m_attempts) {
+        m_context.board.end(now, attempt->upstream().id, attempt->upstream().born, fleet::AttemptOutcome::Abandoned, {});
+    }
+    m_attempts.clear();
+}
+
+void Exchange::callerGone()
+{
+    finish(net::now(), 0, "caller-gone");
+}
+
+bool Exchange::hedgeDue(TimePoint now) const
+{
+    if (!repeatable() || m_attempts.size() != 1 || m_streaming != nullptr || m_sends >= std::max(1, route().maxAttempts)) {
+        return false;
+    }
+    const double typical = m_context.board.typicalLatency(m_service);
+    const Duration threshold = std::max(Duration{std::chrono::milliseconds{600}}, fromSeconds(typical * 2.5));
+    return m_attempts.front()->age(now) > threshold;
+}
+
+void Exchange::tick(TimePoint now)
+{
+    if (m_done) {
+        return;
+    }
+    if (m_streaming != nullptr) {
+        if (m_caller.unsent() <= maximumUnsent / 2) {
+            m_streaming->pauseReading(false);
+        }
+        return;
+    }
+    const double typical = m_context.board.typicalLatency(m_service);
+    const Duration overdue = std::max(shortestOverdue, fromSeconds(typical * overdueFactor));
+    for (const auto &attempt : m_attempts) {
+        const fleet::UpstreamEntry &upstream = attempt->upstream();
+        if (attempt->age(now) > overdue && attempt->markOverdue()) {
+            m_context.board.noteOverdue(now, upstream.id, upstream.born);
+            m_context.broadcast(fleet::FailureNotice{fleet::upstreamKey(upstream.id, upstream.born)});
+        }
+    }
+    limits::RetryBudget &budget = m_context.budgetOf(m_service);
+    if (hedgeDue(now) && budget.balance() >= 1) {
+        const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried};
+        const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
+        constexpr double soundBelief = 0.4;
+        if (choice.upstream != nullptr && choice.belief < soundBelief) {
+            static_cast<void>(budget.tryRetry());
+            startAttempt(now, choice);
+        }
+    }
+}
+
+bool Exchange::done() const
+{
+    return m_done;
+}
+
+bool Exchange::running() const
+{
+    return !m_done && !m_attempts.empty();
+}
+
+void Exchange::endForStop()
+{
+    onTimeout();
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/gateway.cpp
@@ -0,0 +1,363 @@
+#include "proxy/gateway.h"
+
+#include "net/httpmessage.h"
+#include "telemetry/boundedlog.h"
+#include "telemetry/log.h"
+
+#include <event2/http.h>
+
+#include <algorithm>
+
+namespace jackdawdoor::proxy {
+
+using telemetry::LogLevel;
+
+namespace {
+
+constexpr Duration tickPeriod = std::chrono::milliseconds{100};
+/** Load reports among the instances that serve requests. */
+constexpr Duration reportPeriod = std::chrono::milliseconds{250};
+/** Load reports to all instances, so that a new one is known to the others and knows them. */
+constexpr Duration broadcastPeriod = std::chrono::milliseconds{1000};
+constexpr Duration noticePeriod = std::chrono::milliseconds{250};
+constexpr Duration prunePeriod = std::chrono::milliseconds{500};
+/** An instance shares the load for this long after its last report. */
+constexpr Duration sharingLifetime = std::chrono::milliseconds{2500};
+constexpr Duration registrationRetry = std::chrono::seconds{2};
+/** The list of instances is read at the start, and again when those that started at the same time are on it. */
+constexpr Duration secondListing = std::chrono::seconds{3};
+constexpr Duration laterListings = std::chrono::seconds{60};
+/** Instances of each data centre on which the callers of one host are placed. */
+constexpr std::size_t instancesPerDataCentre = 4;
+/** Time in which callers learn that this instance leaves; it serves until then. */
+constexpr Duration stopAdmission = std::chrono::milliseconds{2600};
+/** Left of the stop time when the last requests get their final answer. */
+constexpr Duration stopReserve = std::chrono::milliseconds{450};
+
+membership::Member selfMember(const ProxySettings &settings, Incarnation incarnation)
+{
+    return {{settings.instance, incarnation},
+            settings.peers.text(),
+            settings.dataCentre,
+            membership::MemberState::Live,
+            settings.callers.text()};
+}
+
+} // namespace
+
+Gateway::Gateway(net::EventLoop &loop, ProxySettings settings, HeaderNames names, Incarnation incarnation)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_self{m_settings.instance, incarnation}
+    , m_context(loop, std::move(names), m_settings.instance, m_settings.dataCentre, incarnation)
+    , m_proxy(m_context)
+    , m_datagrams(loop,
+                  [this](std::string_view bytes, const settings::Endpoint &) {
+                      receive(bytes);
+                  })
+    , m_membership(selfMember(m_settings, incarnation), m_context.random)
+    , m_placement(m_membership.view())
+    , m_timer(loop, [this] {
+        tick();
+    })
+{
+    m_context.retryLimits = m_settings.retryLimits;
+    m_context.broadcast = [this](const fleet::FleetMessage &message) {
+        broadcast(message);
+    };
+}
+
+Gateway::~Gateway() = default;
+
+Result<bool> Gateway::start(StoreAccess access)
+{
+    m_access = std::move(access);
+    StoreFeedHooks hooks;
+    hooks.onConfiguration = [this](const routing::RouteTablePointer &table) {
+        m_context.routes = table;
+    };
+    hooks.onUpstreams = [this] {
+        m_context.board.setEntries(net::now(), m_feed->catalogue().entries());
+    };
+    hooks.onRead = [] {
+    };
+    m_feed = std::make_unique<StoreFeed>(m_loop, m_access, m_settings.instance, m_settings.dataCentre, std::move(hooks));
+    m_peerServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
+        answerPeer(request);
+    });
+    m_metricsServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
+        answerMetrics(request);
+    });
+    const Result<settings::Endpoint> listening[] = {m_datagrams.bind(m_settings.peers),
+                                                    m_peerServer->listen(m_settings.peers),
+                                                    m_metricsServer->listen(m_settings.metrics),
+                                                    m_proxy.listen(m_settings.callers)};
+    for (const auto &endpoint : listening) {
+        if (!endpoint.has_value()) {
+            return endpoint.error();
+        }
+    }
+    telemetry::writeLog(LogLevel::Info,
+                        "start",
+                        "serving",
+                        {{"instance", m_self.id.value},
+                         {"incarnation", std::to_string(m_self.incarnation)},
+                         {"data-centre", m_settings.dataCentre.value},
+                         {"callers", m_settings.callers.text()},
+                         {"store", m_settings.store.text()}});
+    m_timer.set(Duration::zero());
+    return true;
+}
+
+void Gateway::reload(const ProxySettings &settings)
+{
+    telemetry::writeLog(LogLevel::Info, "reload", settings == m_settings ? "unchanged" : "changed");
+    m_settings.retryLimits = settings.retryLimits;
+    m_settings.stopTime = settings.stopTime;
+    m_settings.directoryHold = settings.directoryHold;
+    m_settings.seeds = settings.seeds;
+    m_settings.store = settings.store;
+    if (m_context.retryLimits != settings.retryLimits) {
+        m_context.retryLimits = settings.retryLimits;
+        m_context.budgets.clear();
+    }
+}
+
+bool Gateway::ready() const
+{
+    return m_feed && m_feed->ready() && m_onStopped == nullptr;
+}
+
+ProxyMetrics &Gateway::metrics()
+{
+    return m_context.metrics;
+}
+
+std::size_t Gateway::placedPerDataCentre() const
+{
+    return instancesPerDataCentre;
+}
+
+DirectoryAnswer Gateway::addressesFor(const std::string &host, const DataCentreId &dataCentre)
+{
+    m_placement.update(m_membership.view());
+    const auto ranked = m_placement.rank(ServiceId{host}, m_membership.view()->members.size());
+    DirectoryAnswer answer;
+    answer.hold = m_settings.directoryHold;
+    std::vector<std::string> others;
+    for (const membership::Member *member : ranked) {
+        const bool placed = !member->callerAddress.empty() && !(member->ref.id == m_self.id && !ready());
+        if (placed) {
+            (member->dataCentre == dataCentre ? answer.addresses : others).push_back(member->callerAddress);
+        }
+    }
+    if (answer.addresses.size() > placedPerDataCentre()) {
+        answer.addresses.resize(placedPerDataCentre());
+    }
+    // Callers of a data centre without enough instances go to others.
+    constexpr std::size_t fewest = 2;
+    for (const std::string &address : others) {
+        if (answer.addresses.size() >= fewest) {
+            break;
+        }
+        answer.addresses.push_back(address);
+    }
+    return answer;
+}
+
+void Gateway::tick()
+{
+    const TimePoint now = net::now();
+    sendMembership(m_membership.onTick(now));
+    m_feed->tick(now, *m_membership.view());
+    m_proxy.tick(now);
+    m_context.board.expireReports(now);
+    sendReports(now);
+    registerSelf();
+    listPeers();
+    if (now >= m_nextPrune) {
+        m_nextPrune = now + prunePeriod;
+        m_context.pool.prune(now, m_feed->catalogue().entries());
+        m_context.crashes.expire(now);
+        std::erase_if(m_sharing, [now](const auto &entry) {
+            return now - entry.second > sharingLifetime;
+        });
+        m_context.sharers = 1 + static_cast<int>(m_sharing.size());
+    }
+    telemetry::flushLog();
+    if (m_onStopped != nullptr) {
+        stopStep(now);
+    }
+    m_timer.set(tickPeriod);
+}
+
+void Gateway::sendReports(TimePoint now)
+{
+    if (now >= m_nextReport) {
+        m_nextReport = now + reportPeriod;
+        const bool toAll = now >= m_nextBroadcast;
+        const fleet::LoadReport report = m_context.board.takeOwnReport();
+        const bool sharing = !report.items.empty() || m_proxy.connections() > 0;
+        if (toAll) {
+            m_nextBroadcast = now + broadcastPeriod;
+        }
+        if (sharing && toAll) {
+            broadcast(report);
+        } else if (sharing) {
+            for (const auto &[instance, at] : m_sharing) {
+                send({instance, 0}, report);
+            }
+        }
+    }
+    if (now >= m_nextNotice && m_feed->readsStore(now)) {
+        m_nextNotice = now + noticePeriod;
+        broadcast(m_feed->notice(now));
+    }
+}
+
+void Gateway::send(const InstanceRef &to, const fleet::FleetMessage &message)
+{
+    sendToAddress(m_membership.addressOf(to), message);
+}
+
+void Gateway::sendToAddress(const std::string &address, const fleet::FleetMessage &message)
+{
+    const auto endpoint = settings::parseEndpoint(address);
+    if (endpoint.has_value()) {
+        m_datagrams.send(endpoint.value(), fleet::encodeDatagram({m_self, message}));
+    }
+}
+
+void Gateway::broadcast(const fleet::FleetMessage &message)
+{
+    const std::string bytes = fleet::encodeDatagram({m_self, message});
+    for (const membership::Member *member : m_membership.view()->live()) {
+        const auto endpoint = settings::parseEndpoint(member->address);
+        if (member->ref.id != m_self.id && endpoint.has_value()) {
+            m_datagrams.send(endpoint.value(), bytes);
+        }
+    }
+}
+
+void Gateway::sendMembership(const membership::MembershipMessages &messages)
+{
+    for (const auto &outgoing : messages) {
+        send(outgoing.to, outgoing.message);
+    }
+}
+
+void Gateway::receive(std::string_view bytes)
+{
+    const auto datagram = fleet::decodeDatagram(bytes);
+    if (!datagram) {
+        telemetry::writeLog(LogLevel::Warning, "receive datagram", "malformed");
+        return;
+    }
+    if (datagram->from.id != m_self.id) {
+        take(*datagram);
+    }
+}
+
+void Gateway::take(const fleet::FleetDatagram &datagram)
+{
+    const TimePoint now = net::now();
+    if (const auto *report = std::get_if<fleet::LoadReport>(&datagram.message)) {
+        m_sharing[datagram.from.id] = now;
+        m_context.board.takeReport(now, datagram.from.id, *report);
+    } else if (const auto *failure = std::get_if<fleet::FailureNotice>(&datagram.message)) {
+        m_context.board.takeFailure(now, *failure);
+    } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
+        m_context.crashes.noteCrash(now, crash->request, crash->key);
+    } else if (const auto *notice = std::get_if<fleet::StoreNotice>(&datagram.message)) {
+        const auto address = settings::parseEndpoint(m_membership.addressOf(datagram.from));
+        if (address.has_value()) {
+            m_feed->takeNotice(now, *notice, address.value());
+        }
+    } else if (const auto *membership = std::get_if<membership::MembershipMessage>(&datagram.message)) {
+        sendMembership(m_membership.onPeerMessage(now, datagram.from, *membership));
+    }
+}
+
+void Gateway::registerSelf()
+{
+    const TimePoint now = net::now();
+    if (m_registered || now < m_nextRegistration) {
+        return;
+    }
+    m_nextRegistration = now + registrationRetry;
+    m_access.registerInstance({m_settings.instance, m_settings.peers.text(), m_settings.dataCentre, false}, [this](const Result<bool> &done) {
+        m_registered = m_registered || done.has_value();
+        if (!done.has_value()) {
+            telemetry::writeLog(LogLevel::Warning, "register instance", done.error().message());
+        }
+    });
+}
+
+void Gateway::listPeers()
+{
+    const TimePoint now = net::now();
+    if (!m_registered || now < m_nextListing) {
+        return;
+    }
+    m_nextListing = now + (m_listings == 0 ? secondListing : laterListings);
+    ++m_listings;
+    m_access.listInstances([this](const Result<membership::InstanceList> &list) {
+        if (!list.has_value()) {
+            telemetry::writeLog(LogLevel::Warning, "list instances", list.error().message());
+            m_nextListing = net::now() + registrationRetry;
+            return;
+        }
+        sendMembership(m_membership.onInstanceList(net::now(), list.value()));
+    });
+}
+
+void Gateway::answerPeer(evhttp_request *request)
+{
+    const std::string target = evhttp_request_get_uri(request);
+    const auto version = net::parseNumber(net::queryParameter(target, "configuration"));
+    const auto catalogue = net::parseNumber(net::queryParameter(target, "catalogue"));
+    net::ServerExchange exchange(m_loop, request, m_peerServer->limits(), {});
+    if (!version || !catalogue) {
+        exchange.reply(HTTP_BADREQUEST, {}, "expected configuration and catalogue\n");
+        return;
+    }
+    exchange.reply(HTTP_OK, {}, m_feed->exportState(*version, *catalogue, net::now()));
+}
+
+void Gateway::answerMetrics(evhttp_request *request)
+{
+    m_context.metrics.setDroppedLines(telemetry::droppedLines());
+    net::ServerExchange exchange(m_loop, request, m_metricsServer->limits(), {});
+    exchange.reply(HTTP_OK, {{"Content-Type", "text/plain"}}, m_context.metrics.text());
+}
+
+void Gateway::beginStop(std::function<void()> onStopped)
+{
+    if (m_onStopped != nullptr) {
+        return;
+    }
+    m_onStopped = std::move(onStopped);
+    m_stopBegan = net::now();
+    telemetry::writeLog(LogLevel::Info, "stop", "leaving", {{"requests", std::to_string(m_proxy.requests())}});
+    sendMembership(m_membership.beginLeave(m_stopBegan));
+    m_proxy.beginStop();
+}
+
+void Gateway::stopStep(TimePoint now)
+{
+    const Duration since = now - m_stopBegan;
+    if (since >= stopAdmission) {
+        m_context.stopping = true;
+        m_proxy.closeIdle();
+    }
+    if (since >= m_settings.stopTime - stopReserve) {
+        m_proxy.endRequests();
+    }
+    if (m_context.stopping && m_proxy.requests() == 0) {
+        telemetry::writeLog(LogLevel::Info, "stop", "every request has ended");
+        telemetry::flushLog();
+        m_onStopped();
+    }
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/gateway.h
@@ -0,0 +1,96 @@
+/** One instance of the proxy fleet on the users' platform: joins the store, the other instances and the proxy. */
+#pragma once
+
+#include "base/error.h"
+#include "membership/membership.h"
+#include "net/eventloop.h"
+#include "net/httpserver.h"
+#include "placement/placementtable.h"
+#include "proxy/datagramsocket.h"
+#include "proxy/proxysettings.h"
+#include "proxy/proxytask.h"
+#include "proxy/storefeed.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::proxy {
+
+/** Where a caller should connect. */
+struct DirectoryAnswer {
+    std::vector<std::string> addresses;
+    Duration hold{}; ///< how long to keep the answer
+};
+
+/** An instance. Created, used and destroyed on its loop's thread. */
+class Gateway
+{
+public:
+    Gateway(net::EventLoop &loop, ProxySettings settings, HeaderNames names, Incarnation incarnation);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /** Listens and begins to work. access stays valid as long as this object. */
+    Result<bool> start(StoreAccess access);
+
+    /** Takes changed settings; addresses on which this process listens stay as they are. */
+    void reload(const ProxySettings &settings);
+
+    /** Leaves placement, finishes the requests in progress and calls onStopped. */
+    void beginStop(std::function<void()> onStopped);
+
+    /** Requests can be served and the process is not stopping. */
+    bool ready() const;
+
+    /** Instances on which callers of the host should connect, from a data centre. */
+    DirectoryAnswer addressesFor(const std::string &host, const DataCentreId &dataCentre);
+
+    /** Metrics of this process. */
+    ProxyMetrics &metrics();
+
+private:
+    void tick();
+    void stopStep(TimePoint now);
+    void sendReports(TimePoint now);
+    void send(const InstanceRef &to, const fleet::FleetMessage &message);
+    void sendToAddress(const std::string &address, const fleet::FleetMessage &message);
+    void broadcast(const fleet::FleetMessage &message);
+    void sendMembership(const membership::MembershipMessages &messages);
+    void receive(std::string_view bytes);
+    void take(const fleet::FleetDatagram &datagram);
+    void registerSelf();
+    void listPeers();
+    void answerPeer(evhttp_request *request);
+    void answerMetrics(evhttp_request *request);
+    std::size_t placedPerDataCentre() const;
+
+    net::EventLoop &m_loop;
+    ProxySettings m_settings;
+    InstanceRef m_self;
+    RequestContext m_context;
+    ProxyTask m_proxy;
+    DatagramSocket m_datagrams;
+    membership::Membership m_membership;
+    placement::PlacementTable m_placement;
+    std::unique_ptr<StoreFeed> m_feed;
+    StoreAccess m_access;
+    std::unique_ptr<net::HttpServer> m_peerServer;
+    std::unique_ptr<net::HttpServer> m_metricsServer;
+    net::Timer m_timer;
+    std::map<InstanceId, TimePoint> m_sharing; ///< instances that serve requests, by their last load report
+    TimePoint m_nextReport{};
+    TimePoint m_nextBroadcast{};
+    TimePoint m_nextNotice{};
+    TimePoint m_nextPrune{};
+    TimePoint m_nextRegistration{};
+    TimePoint m_nextListing{};
+    TimePoint m_stopBegan{};
+    bool m_registered = false;
+    int m_listings = 0;
+    std::function<void()> m_onStopped;
+};
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/proxylog.cpp
@@ -0,0 +1,74 @@
+#include "proxy/proxylog.h"
+
+#include "telemetry/log.h"
+
+#include <cstdio>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+using telemetry::LogLevel;
+
+std::string decimals(double value)
+{
+    char text[32];
+    const int length = std::snprintf(text, sizeof(text), "%.3f", value);
+    return {text, static_cast<std::size_t>(length)};
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+void logChoice(const std::string &requestId,
+               const ServiceId &service,
+               const fleet::UpstreamChoice &choice,
+               const routing::RouteTable &table,
+               int attempt)
+{
+    const fleet::UpstreamRecord &record = *choice.upstream;
+    telemetry::writeLog(LogLevel::Info,
+                        "choose upstream",
+                        fleet::reasonName(choice.reason),
+                        {{"request", requestId},
+                         {"service", service.value},
+                         {"upstream", record.entry.id.value},
+                         {"belief", decimals(choice.belief)},
+                         {"cost", decimals(choice.cost)},
+                         {"in-flight", std::to_string(record.ownInFlight) + "+" + std::to_string(record.otherInFlight)},
+                         {"ready", std::to_string(choice.ready)},
+                         {"configuration", std::to_string(table.version())},
+                         {"attempt", std::to_string(attempt)}});
+}
+
+void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, TimePoint now)
+{
+    const AttemptResult &result = attempt.result();
+    telemetry::writeLog(LogLevel::Info,
+                        "end attempt",
+                        result.meaning.reason,
+                        {{"request", requestId},
+                         {"service", service.value},
+                         {"upstream", attempt.upstream().id.value},
+                         {"status", std::to_string(result.head.status)},
+                         {"new-connection", result.freshConnection ? "yes" : "no"},
+                         {"ms", milliseconds(attempt.age(now))}});
+}
+
+void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took)
+{
+    telemetry::writeLog(LogLevel::Info,
+                        "answer request",
+                        reason,
+                        {{"request", requestId},
+                         {"route", route == nullptr ? "" : route->name},
+                         {"status", std::to_string(status)},
+                         {"attempts", std::to_string(attempts)},
+                         {"ms", milliseconds(took)}});
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/proxymetrics.cpp
@@ -0,0 +1,70 @@
+#include "proxy/proxymetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+prometheus::Family<prometheus::Counter> &counter(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+/** Upper bounds in seconds. */
+const prometheus::Histogram::BucketBoundaries latencyBuckets{0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2, 4, 8};
+
+} // namespace
+
+struct ProxyMetrics::Families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests = counter(registry, "jackdawdoor_requests_total", "Requests by outcome");
+    prometheus::Family<prometheus::Counter> &attempts = counter(registry, "jackdawdoor_attempts_total", "Attempts by service and end");
+    prometheus::Family<prometheus::Counter> &storeCalls = counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
+    prometheus::Histogram &latency = prometheus::BuildHistogram()
+                                         .Name("jackdawdoor_request_seconds")
+                                         .Help("Time from the first byte of a request to its final answer")
+                                         .Register(registry)
+                                         .Add({}, latencyBuckets);
+    prometheus::Gauge &dropped =
+        prometheus::BuildGauge().Name("jackdawdoor_dropped_log_lines").Help("Log lines dropped").Register(registry).Add({});
+};
+
+ProxyMetrics::ProxyMetrics()
+    : m_families(std::make_unique<Families>())
+{
+}
+
+ProxyMetrics::~ProxyMetrics() = default;
+
+void ProxyMetrics::countRequest(std::string_view outcome, Duration took)
+{
+    m_families->requests.Add({{"outcome", std::string(outcome)}}).Increment();
+    m_families->latency.Observe(toSeconds(took));
+}
+
+void ProxyMetrics::countAttempt(std::string_view service, std::string_view reason)
+{
+    m_families->attempts.Add({{"service", std::string(service)}, {"end", std::string(reason)}}).Increment();
+}
+
+void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
+{
+    m_families->storeCalls.Add({{"call", std::string(call)}, {"result", succeeded ? "answered" : "failed"}}).Increment();
+}
+
+void ProxyMetrics::setDroppedLines(std::uint64_t lines)
+{
+    m_families->dropped.Set(static_cast<double>(lines));
+}
+
+std::string ProxyMetrics::text() const
+{
+    return prometheus::TextSerializer{}.Serialize(m_families->registry.Collect());
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/proxytask.cpp
@@ -0,0 +1,147 @@
+#include "proxy/proxytask.h"
+
+#include "net/socketaddress.h"
+#include "proxy/proxylog.h"
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <vector>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+/** Openings that may wait; a full queue makes callers wait for seconds. */
+constexpr int backlog = 1024;
+
+} // namespace
+
+ProxyTask::ProxyTask(RequestContext &context)
+    : m_context(context)
+{
+    m_hooks.onRequest = [this](CallerConnection &connection, CallerRequest &&request) {
+        takeRequest(connection, std::move(request));
+    };
+    m_hooks.onGone = [this](CallerConnection &connection) {
+        const auto exchange = m_exchanges.find(&connection);
+        if (exchange != m_exchanges.end()) {
+            exchange->second->callerGone();
+        }
+    };
+    m_hooks.onEnd = [this](CallerConnection &connection) {
+        drop(connection);
+    };
+    m_hooks.onRejected = [](CallerConnection &, int status, const char *reason) {
+        logRequest("", nullptr, status, reason, 0, {});
+    };
+}
+
+ProxyTask::~ProxyTask()
+{
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+    }
+    m_exchanges.clear();
+}
+
+Result<settings::Endpoint> ProxyTask::listen(const settings::Endpoint &endpoint)
+{
+    sockaddr_storage address{};
+    const socklen_t length = net::toSocketAddress(endpoint, address);
+    m_listener = evconnlistener_new_bind(m_context.loop.base(),
+                                         &ProxyTask::onAccept,
+                                         this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                         backlog,
+                                         reinterpret_cast<sockaddr *>(&address),
+                                         static_cast<int>(length));
+    if (m_listener == nullptr) {
+        return Error{"listen for callers", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
+    }
+    return settings::Endpoint{endpoint.host, net::boundPort(evconnlistener_get_fd(m_listener))};
+}
+
+void ProxyTask::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/, int /*length*/, void *self)
+{
+    auto *task = static_cast<ProxyTask *>(self);
+    const routing::CallerLimits limits = task->m_context.routes ? task->m_context.routes->limits() : routing::CallerLimits{};
+    auto connection = std::make_unique<CallerConnection>(task->m_context.loop, socket, limits, task->m_hooks);
+    if (task->m_stopping) {
+        connection->beginClose(false);
+    }
+    const CallerConnection *key = connection.get();
+    task->m_connections.emplace(key, std::move(connection));
+}
+
+void ProxyTask::takeRequest(CallerConnection &connection, CallerRequest &&request)
+{
+    auto exchange = std::make_unique<Exchange>(m_context, connection, std::move(request));
+    Exchange &begun = *exchange;
+    m_exchanges.insert_or_assign(&connection, std::move(exchange));
+    begun.begin();
+}
+
+void ProxyTask::drop(CallerConnection &connection)
+{
+    m_exchanges.erase(&connection);
+    m_connections.erase(&connection);
+}
+
+void ProxyTask::tick(TimePoint now)
+{
+    std::vector<Exchange *> running;
+    for (const auto &[connection, exchange] : m_exchanges) {
+        running.push_back(exchange.get());
+    }
+    for (Exchange *exchange : running) {
+        exchange->tick(now);
+    }
+    std::erase_if(m_exchanges, [](const auto &entry) {
+        return entry.second->done();
+    });
+}
+
+void ProxyTask::beginStop()
+{
+    m_stopping = true;
+    for (const auto &[key, connection] : m_connections) {
+        connection->beginClose(false);
+    }
+}
+
+void ProxyTask::closeIdle()
+{
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+        m_listener = nullptr;
+    }
+    for (const auto &[key, connection] : m_connections) {
+        connection->beginClose(true);
+    }
+}
+
+void ProxyTask::endRequests()
+{
+    for (const auto &[connection, exchange] : m_exchanges) {
+        if (!exchange->done()) {
+            exchange->endForStop();
+        }
+    }
+}
+
+std::size_t ProxyTask::requests() const
+{
+    std::size_t count = 0;
+    for (const auto &[connection, exchange] : m_exchanges) {
+        count += exchange->done() ? 0 : 1;
+    }
+    return count;
+}
+
+std::size_t ProxyTask::connections() const
+{
+    return m_connections.size();
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/storefeed.cpp
@@ -0,0 +1,292 @@
+#include "proxy/storefeed.h"
+
+#include "net/httpfetch.h"
+#include "telemetry/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jackdawdoor::proxy {
+
+using nlohmann::json;
+using telemetry::LogLevel;
+
+namespace {
+
+/** A reader's request for changes of the configuration waits this long at the store; a change ends it at once. */
+constexpr Duration configurationWait = std::chrono::seconds{8};
+/** Changes in quick succession are read together. */
+constexpr Duration configurationPause = std::chrono::milliseconds{200};
+/** First pause after a failed reading; doubles up to the longest. Refused calls are paid for too. */
+constexpr Duration firstPause = std::chrono::milliseconds{500};
+constexpr int maximumDoublings = 1;
+/** An instance counts as reading the store for this long after a reading. */
+constexpr Duration readingIsFresh = std::chrono::milliseconds{1000};
+constexpr Duration fetchTimeout = std::chrono::milliseconds{500};
+
+json encodeEntry(const fleet::UpstreamEntry &entry, Duration sinceReading)
+{
+    return json::array({entry.id.value,
+                        entry.service.value,
+                        entry.address,
+                        entry.dataCentre.value,
+                        entry.born,
+                        entry.sequence,
+                        entry.slots,
+                        static_cast<int>(entry.status),
+                        std::max(Duration::zero(), entry.warmupLeft - sinceReading).count()});
+}
+
+fleet::UpstreamEntry decodeEntry(const json &in)
+{
+    fleet::UpstreamEntry entry;
+    entry.id = UpstreamId{in.at(0).get<std::string>()};
+    entry.service = ServiceId{in.at(1).get<std::string>()};
+    entry.address = in.at(2).get<std::string>();
+    entry.dataCentre = DataCentreId{in.at(3).get<std::string>()};
+    entry.born = in.at(4).get<std::int64_t>();
+    entry.sequence = in.at(5).get<std::int64_t>();
+    entry.slots = in.at(6).get<int>();
+    entry.status = in.at(7).get<int>() == 0 ? fleet::UpstreamStatus::Ready : fleet::UpstreamStatus::Draining;
+    entry.warmupLeft = Duration{in.at(8).get<Duration::rep>()};
+    return entry;
+}
+
+} // namespace
+
+StoreFeed::StoreFeed(net::EventLoop &loop, StoreAccess access, InstanceId self, DataCentreId dataCentre, StoreFeedHooks hooks)
+    : m_loop(loop)
+    , m_access(std::move(access))
+    , m_duty(std::move(self), std::move(dataCentre))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void StoreFeed::tick(TimePoint now, const membership::MembershipView &view)
+{
+    const bool wanted = m_duty.shouldRead(now, view) || !m_table;
+    if (wanted && now >= m_retryAt && !m_upstreamsPending) {
+        read(now);
+    }
+}
+
+void StoreFeed::read(TimePoint now)
+{
+    m_duty.noteReading(now);
+    m_upstreamsPending = true;
+    m_access.readUpstreams(m_upstreamsNext, [this, now](const Result<UpstreamReading> &reading) {
+        m_upstreamsPending = false;
+        if (reading.has_value()) {
+            takeUpstreams(reading.value());
+        }
+        readingEnded(now, reading.has_value(), reading.has_value() ? nullptr : &reading.error());
+    });
+    if (m_configurationPending || now - m_configurationAsked < configurationPause) {
+        return;
+    }
+    m_configurationPending = true;
+    m_configurationAsked = now;
+    m_access.readConfiguration(m_configurationNext, configurationWait, [this](const Result<ConfigurationReading> &reading) {
+        m_configurationPending = false;
+        if (!reading.has_value()) {
+            telemetry::writeLog(LogLevel::Warning, "read configuration", reading.error().message());
+            m_configurationNext = m_storeReached ? m_configurationNext : 0;
+            return;
+        }
+        m_configurationNext = reading.value().next;
+        if (!reading.value().text.empty()) {
+            takeConfiguration(reading.value().text, "store");
+        }
+    });
+}
+
+void StoreFeed::readingEnded(TimePoint began, bool succeeded, const Error *error)
+{
+    if (succeeded) {
+        m_duty.noteKnowledge(began);
+        m_lastRead = net::now();
+        m_failures = 0;
+        if (!m_storeReached) {
+            telemetry::writeLog(LogLevel::Info, "read store", "the store answers again");
+        }
+        m_storeReached = true;
+        m_hooks.onRead();
+        return;
+    }
+    if (m_storeReached) {
+        telemetry::writeLog(LogLevel::Warning, "read store", error->message(), {{"age-ms", std::to_string(m_duty.age(began).count() / 1000)}});
+    }
+    m_storeReached = false;
+    m_retryAt = net::now() + firstPause * (1 << std::min(m_failures, maximumDoublings));
+    ++m_failures;
+}
+
+void StoreFeed::takeConfiguration(const std::string &text, const char *source)
+{
+    const auto table = m_access.decodeConfiguration(text);
+    if (!table.has_value()) {
+        telemetry::writeLog(LogLevel::Error, "take configuration", table.error().message(), {{"source", source}});
+        return;
+    }
+    if (m_table && table.value()->version() <= m_table->version()) {
+        return;
+    }
+    m_table = table.value();
+    m_configurationText = text;
+    telemetry::writeLog(LogLevel::Info,
+                        "take configuration",
+                        "in force",
+                        {{"version", std::to_string(m_table->version())}, {"source", source}});
+    m_hooks.onConfiguration(m_table);
+}
+
+void StoreFeed::takeUpstreams(const UpstreamReading &reading)
+{
+    if (reading.unreadable > 0) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "read upstreams",
+                            "entries that name no upstream are passed over",
+                            {{"entries", std::to_string(reading.unreadable)}});
+    }
+    bool changed = false;
+    if (reading.complete) {
+        std::vector<fleet::UpstreamEntry> entries;
+        for (const UpstreamChange &change : reading.changes) {
+            if (!change.removed) {
+                entries.push_back(change.entry);
+            }
+        }
+        changed = m_catalogue.replace(entries);
+    } else {
+        for (const UpstreamChange &change : reading.changes) {
+            const auto effect = change.removed ? m_catalogue.remove(change.id) : m_catalogue.apply(change.entry);
+            changed = effect != fleet::CatalogueChange::Nothing || changed;
+        }
+    }
+    m_upstreamsNext = reading.next;
+    if (changed) {
+        publishCatalogue();
+    }
+}
+
+void StoreFeed::publishCatalogue()
+{
+    const std::uint64_t fingerprint = m_catalogue.fingerprint();
+    if (fingerprint != m_fingerprint) {
+        int ready = 0;
+        for (const fleet::UpstreamEntry &entry : m_catalogue.entries()) {
+            ready += entry.status == fleet::UpstreamStatus::Ready ? 1 : 0;
+        }
+        telemetry::writeLog(LogLevel::Info,
+                            "take upstreams",
+                            "changed",
+                            {{"ready", std::to_string(ready)}, {"known", std::to_string(m_catalogue.entries().size())}});
+    }
+    m_fingerprint = fingerprint;
+    m_hooks.onUpstreams();
+}
+
+void StoreFeed::takeNotice(TimePoint now, const fleet::StoreNotice &notice, const settings::Endpoint &stateAddress)
+{
+    const TimePoint asOf = now - notice.age;
+    const bool olderVersion = notice.configurationVersion > (m_table ? m_table->version() : 0);
+    const bool otherUpstreams = notice.catalogue != m_fingerprint && notice.age < m_duty.age(now);
+    if (!olderVersion && notice.catalogue == m_fingerprint) {
+        m_duty.noteKnowledge(asOf);
+        return;
+    }
+    if ((olderVersion || otherUpstreams) && !m_fetching) {
+        fetchState(stateAddress);
+    }
+}
+
+void StoreFeed::fetchState(const settings::Endpoint &from)
+{
+    m_fetching = true;
+    const TimePoint asked = net::now();
+    net::FetchRequest request;
+    request.url = "http://" + from.text() + "/state?configuration=" + std::to_string(m_table ? m_table->version() : 0)
+        + "&catalogue=" + std::to_string(m_fingerprint);
+    request.timeout = fetchTimeout;
+    net::fetch(m_loop, request, [this, asked, from](const Result<net::FetchAnswer> &answer) {
+        m_fetching = false;
+        constexpr int ok = 200;
+        if (!answer.has_value() || answer.value().status != ok) {
+            const std::string reason = answer.has_value() ? "status " + std::to_string(answer.value().status) : answer.error().reason;
+            telemetry::writeLog(LogLevel::Warning, "fetch state", reason, {{"peer", from.text()}});
+            return;
+        }
+        importState(answer.value().body, asked);
+    });
+}
+
+std::string StoreFeed::exportState(std::uint64_t configurationVersion, std::uint64_t catalogue, TimePoint now) const
+{
+    json entries;
+    if (catalogue != m_fingerprint) {
+        entries = json::array();
+        for (const fleet::UpstreamEntry &entry : m_catalogue.entries()) {
+            entries.push_back(encodeEntry(entry, m_duty.age(now)));
+        }
+    }
+    const bool newer = m_table && m_table->version() > configurationVersion;
+    const json whole = json::array({m_duty.age(now).count(), newer ? json(m_configurationText) : json(), std::move(entries)});
+    std::string bytes;
+    json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+void StoreFeed::importState(std::string_view bytes, TimePoint asked)
+{
+    try {
+        const json whole = json::from_cbor(bytes);
+        const Duration age{whole.at(0).get<Duration::rep>()};
+        if (whole.at(1).is_string()) {
+            takeConfiguration(whole.at(1).get<std::string>(), "instance");
+        }
+        // Knowledge that is older than one's own must not undo a change that is already known.
+        if (age >= m_duty.age(asked)) {
+            return;
+        }
+        if (whole.at(2).is_array()) {
+            std::vector<fleet::UpstreamEntry> entries;
+            for (const json &entry : whole.at(2)) {
+                entries.push_back(decodeEntry(entry));
+            }
+            if (m_catalogue.replace(entries)) {
+                publishCatalogue();
+            }
+        }
+        m_duty.noteKnowledge(asked - age);
+    } catch (const json::exception &error) {
+        telemetry::writeLog(LogLevel::Warning, "fetch state", error.what());
+    }
+}
+
+fleet::StoreNotice StoreFeed::notice(TimePoint now) const
+{
+    return {m_table ? m_table->version() : 0, m_fingerprint, m_duty.age(now)};
+}
+
+bool StoreFeed::readsStore(TimePoint now) const
+{
+    return m_lastRead != TimePoint{} && now - m_lastRead < readingIsFresh;
+}
+
+Duration StoreFeed::age(TimePoint now) const
+{
+    return m_duty.age(now);
+}
+
+const fleet::UpstreamCatalogue &StoreFeed::catalogue() const
+{
+    return m_catalogue;
+}
+
+bool StoreFeed::ready() const
+{
+    return m_table != nullptr;
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/storefeed.h
@@ -0,0 +1,89 @@
+/** Keeps an instance's copy of the store's contents current.
+ *
+ * An instance reads the store itself when it is a reader or its knowledge has grown old (fleet::ReaderDuty); otherwise
+ * it learns from a reader's notice that something has changed and fetches the change from that reader. A configuration
+ * is taken only if its version is higher than the one in force, whatever way it came.
+ */
+#pragma once
+
+#include "fleet/fleetmessage.h"
+#include "fleet/readerduty.h"
+#include "fleet/upstreamcatalogue.h"
+#include "membership/membershipview.h"
+#include "net/eventloop.h"
+#include "proxy/storeaccess.h"
+#include "settings/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jackdawdoor::proxy {
+
+/** What the owner is told. */
+struct StoreFeedHooks {
+    std::function<void(const routing::RouteTablePointer &)> onConfiguration; ///< a higher version is in force
+    std::function<void()> onUpstreams; ///< the catalogue has changed
+    std::function<void()> onRead; ///< a reading of the store has ended well
+};
+
+/** Configuration and upstreams of one instance. Used on one loop. */
+class StoreFeed
+{
+public:
+    StoreFeed(net::EventLoop &loop, StoreAccess access, InstanceId self, DataCentreId dataCentre, StoreFeedHooks hooks);
+
+    /** Starts a reading when one is due. */
+    void tick(TimePoint now, const membership::MembershipView &view);
+
+    /** A reader says what it knows. stateAddress: where its copy can be fetched. */
+    void takeNotice(TimePoint now, const fleet::StoreNotice &notice, const settings::Endpoint &stateAddress);
+
+    /** What this instance knows, for others. */
+    fleet::StoreNotice notice(TimePoint now) const;
+
+    /** True when this instance read the store itself lately, so that others may rely on its notices. */
+    bool readsStore(TimePoint now) const;
+
+    /** Copy of what the other one lacks, for its fetch. */
+    std::string exportState(std::uint64_t configurationVersion, std::uint64_t catalogue, TimePoint now) const;
+
+    /** Age of the knowledge. */
+    Duration age(TimePoint now) const;
+
+    const fleet::UpstreamCatalogue &catalogue() const;
+
+    /** A configuration is in force. */
+    bool ready() const;
+
+private:
+    void read(TimePoint now);
+    void takeConfiguration(const std::string &text, const char *source);
+    void takeUpstreams(const UpstreamReading &reading);
+    void readingEnded(TimePoint began, bool succeeded, const Error *error);
+    void fetchState(const settings::Endpoint &from);
+    void importState(std::string_view bytes, TimePoint asked);
+    void publishCatalogue();
+
+    net::EventLoop &m_loop;
+    StoreAccess m_access;
+    fleet::ReaderDuty m_duty;
+    StoreFeedHooks m_hooks;
+    routing::RouteTablePointer m_table;
+    std::string m_configurationText;
+    fleet::UpstreamCatalogue m_catalogue;
+    std::uint64_t m_fingerprint = 0;
+    StoreOffset m_configurationNext = 0;
+    StoreOffset m_upstreamsNext = 0;
+    bool m_configurationPending = false;
+    bool m_upstreamsPending = false;
+    bool m_fetching = false;
+    bool m_storeReached = true;
+    int m_failures = 0;
+    TimePoint m_retryAt{};
+    TimePoint m_lastRead{};
+    TimePoint m_configurationAsked{};
+};
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/upstreamlink.cpp
@@ -0,0 +1,301 @@
+#include "proxy/upstreamlink.h"
+
+#include "net/socketaddress.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+/** Opening a connection takes 1 ms within a data centre; a lost opening packet is sent again only after a second. */
+constexpr Duration connectTimeout = std::chrono::milliseconds{250};
+/** Idle connections without a stated limit are closed after this time. */
+constexpr Duration defaultIdleLimit = std::chrono::seconds{8};
+/** Safety margin before the upstream's own limit. */
+constexpr Duration idleMargin = std::chrono::milliseconds{1500};
+/** Unacknowledged bytes end the connection after this time. */
+constexpr int unacknowledgedMilliseconds = 3000;
+
+/** The timeout in a header such as "timeout=5, max=100", or nothing. */
+std::optional<Duration> keepAliveTimeout(const net::Headers &headers)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string value = net::findHeader(headers, "Keep-Alive");
+    for (const std::string_view part : net::splitTrimmed(value, ',')) {
+        if (part.substr(0, key.size()) == key) {
+            if (const auto seconds = net::parseNumber(part.substr(key.size()))) {
+                return std::chrono::seconds{*seconds};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+const char *failureName(LinkFailure failure)
+{
+    switch (failure) {
+    case LinkFailure::NotConnected:
+        return "not-connected";
+    case LinkFailure::ConnectTimeout:
+        return "connect-timeout";
+    case LinkFailure::Reset:
+        return "reset";
+    case LinkFailure::Malformed:
+        return "malformed";
+    }
+    return "reset";
+}
+
+void detectSilence(int socket)
+{
+    const int on = 1;
+    const int seconds = 1;
+    const int probes = 2;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof(unacknowledgedMilliseconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+UpstreamLink::UpstreamLink(net::EventLoop &loop, const settings::Endpoint &address, std::string requestIdHeader)
+    : m_loop(loop)
+    , m_address(address)
+    , m_requestIdHeader(std::move(requestIdHeader))
+    , m_parser(MessageParser::Kind::Answer,
+               {[this](MessageHead &&head) {
+                    takeHead(std::move(head));
+                },
+                [this](std::string_view bytes) {
+                    if (!m_skipping && m_hooks.onBody) {
+                        m_hooks.onBody(bytes);
+                    }
+                },
+                [this] {
+                    takeComplete();
+                }})
+    , m_connectTimer(loop,
+                     [this] {
+                         fail(LinkFailure::ConnectTimeout);
+                     })
+    , m_idleLimit(defaultIdleLimit)
+{
+}
+
+UpstreamLink::~UpstreamLink()
+{
+    *m_alive = false;
+    if (m_socket != nullptr) {
+        bufferevent_free(m_socket);
+    }
+}
+
+void UpstreamLink::open()
+{
+    m_socket = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(m_socket, &UpstreamLink::onRead, nullptr, &UpstreamLink::onEvent, this);
+    sockaddr_storage address{};
+    const socklen_t length = net::toSocketAddress(m_address, address);
+    m_connectTimer.set(connectTimeout);
+    // A failure at once is reported through the event callback, which is deferred.
+    static_cast<void>(bufferevent_socket_connect(m_socket, reinterpret_cast<sockaddr *>(&address), static_cast<int>(length)));
+    if (bufferevent_getfd(m_socket) >= 0) {
+        detectSilence(bufferevent_getfd(m_socket));
+    }
+    bufferevent_enable(m_socket, EV_READ | EV_WRITE);
+}
+
+void UpstreamLink::send(std::string_view bytes, const std::string &requestId, bool headRequest, LinkHooks hooks)
+{
+    m_hooks = std::move(hooks);
+    m_requestId = requestId;
+    m_busy = true;
+    m_onIdleEnd = {};
+    m_parser.expectNoBody(headRequest);
+    if (m_socket == nullptr) {
+        open();
+    }
+    bufferevent_write(m_socket, bytes.data(), bytes.size());
+}
+
+void UpstreamLink::setIdleHook(std::function<void()> onEnd)
+{
+    m_onIdleEnd = std::move(onEnd);
+}
+
+bool UpstreamLink::reusable() const
+{
+    return m_socket != nullptr && m_connected && !m_busy && !m_closing && !m_parser.failed()
+        && evbuffer_get_length(bufferevent_get_output(m_socket)) == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
+}
+
+bool UpstreamLink::connected() const
+{
+    return m_connected;
+}
+
+void UpstreamLink::pauseReading(bool paused)
+{
+    if (m_socket != nullptr) {
+        if (paused) {
+            bufferevent_disable(m_socket, EV_READ);
+        } else {
+            bufferevent_enable(m_socket, EV_READ);
+        }
+    }
+}
+
+TimePoint UpstreamLink::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+Duration UpstreamLink::idleLimit() const
+{
+    return m_idleLimit;
+}
+
+void UpstreamLink::onRead(bufferevent * /*bufferedSocket*/, void *self)
+{
+    static_cast<UpstreamLink *>(self)->readInput();
+}
+
+void UpstreamLink::readInput()
+{
+    if (!m_busy) {
+        endIdle();
+        return;
+    }
+    // The hooks may destroy this object.
+    const std::shared_ptr<bool> alive = m_alive;
+    evbuffer *input = bufferevent_get_input(m_socket);
+    while (*alive && m_busy && evbuffer_get_length(input) > 0) {
+        const std::size_t length = evbuffer_get_contiguous_space(input);
+        const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+        const std::string block(bytes, length);
+        const std::size_t used = m_parser.feed(block);
+        if (!*alive) {
+            return;
+        }
+        if (m_parser.failed()) {
+            fail(LinkFailure::Malformed);
+            return;
+        }
+        evbuffer_drain(input, used);
+    }
+}
+
+void UpstreamLink::takeHead(MessageHead &&head)
+{
+    constexpr int firstFinalStatus = 200;
+    const std::string id = net::findHeader(head.headers, m_requestIdHeader);
+    const bool other = !id.empty() && !m_requestId.empty() && id != m_requestId;
+    m_skipping = other || head.status < firstFinalStatus;
+    if (m_skipping) {
+        return;
+    }
+    m_answer = std::move(head);
+    m_closing = m_closing || !m_answer.keepAlive;
+    if (const auto timeout = keepAliveTimeout(m_answer.headers)) {
+        m_idleLimit = std::max(Duration::zero(), Duration{*timeout} - idleMargin);
+    }
+    if (m_hooks.onHead) {
+        m_hooks.onHead(m_answer);
+    }
+}
+
+void UpstreamLink::takeComplete()
+{
+    if (m_skipping) {
+        m_skipping = false;
+        return;
+    }
+    m_busy = false;
+    m_lastAnswer = net::now();
+    // Taken out first: the hook may send the next request or destroy this object. The parser has finished, but its
+    // caller still drains the input, so the work that may destroy the link runs from the loop.
+    m_loop.post([alive = m_alive, hook = std::exchange(m_hooks, {}).onComplete] {
+        if (*alive && hook) {
+            hook();
+        }
+    });
+}
+
+void UpstreamLink::onEvent(bufferevent * /*bufferedSocket*/, short what, void *self)
+{
+    auto *link = static_cast<UpstreamLink *>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        link->m_connected = true;
+        link->m_connectTimer.cancel();
+        return;
+    }
+    if (!link->m_connected) {
+        link->fail(LinkFailure::NotConnected);
+        return;
+    }
+    if (!link->m_busy) {
+        link->m_closing = true;
+        link->endIdle();
+        return;
+    }
+    const bool orderly = (what & BEV_EVENT_EOF) != 0;
+    if (orderly) {
+        const std::shared_ptr<bool> alive = link->m_alive;
+        link->m_closing = true;
+        link->readInput();
+        if (!*alive || !link->m_busy) {
+            return;
+        }
+        if (!link->m_skipping && link->m_parser.finish()) {
+            return;
+        }
+        if (!*alive) {
+            return;
+        }
+    }
+    link->fail(LinkFailure::Reset);
+}
+
+void UpstreamLink::fail(LinkFailure failure)
+{
+    m_connectTimer.cancel();
+    if (m_socket != nullptr) {
+        bufferevent_free(std::exchange(m_socket, nullptr));
+    }
+    m_closing = true;
+    if (!m_busy) {
+        endIdle();
+        return;
+    }
+    m_busy = false;
+    m_loop.post([alive = m_alive, failure, hook = std::exchange(m_hooks, {}).onFailure] {
+        if (*alive && hook) {
+            hook(failure);
+        }
+    });
+}
+
+void UpstreamLink::endIdle()
+{
+    m_closing = true;
+    m_loop.post([alive = m_alive, hook = std::exchange(m_onIdleEnd, {})] {
+        if (*alive && hook) {
+            hook();
+        }
+    });
+}
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/upstreamlink.h
@@ -0,0 +1,103 @@
+/** One connection to an upstream, carrying one request at a time.
+ *
+ * An answer that names another request than the one that is waiting is a late extra answer to an earlier one and is
+ * dropped. Bytes that arrive while no request is waiting end the connection.
+ */
+#pragma once
+
+#include "net/eventloop.h"
+#include "proxy/messageparser.h"
+#include "settings/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+
+namespace jackdawdoor::proxy {
+
+/** How a request on a connection failed. */
+enum class LinkFailure {
+    NotConnected, ///< the connection was never open: nothing was sent
+    ConnectTimeout, ///< likewise, without an answer to the opening packet
+    Reset, ///< closed or reset before the end of the answer
+    Malformed, ///< bytes that are no answer
+};
+
+/** Name for log lines, such as "reset". */
+const char *failureName(LinkFailure failure);
+
+/** What the user of a connection is told. No hook is called from within send(). */
+struct LinkHooks {
+    std::function<void(const MessageHead &)> onHead;
+    std::function<void(std::string_view)> onBody;
+    std::function<void()> onComplete; ///< the link may be used again if reusable()
+    std::function<void(LinkFailure)> onFailure; ///< the link is closed
+};
+
+/** Connection that is opened with the first request. Destruction closes it at once. */
+class UpstreamLink
+{
+public:
+    /** requestIdHeader: name of the header by which an answer names its request. */
+    UpstreamLink(net::EventLoop &loop, const settings::Endpoint &address, std::string requestIdHeader);
+    ~UpstreamLink();
+    UpstreamLink(const UpstreamLink &) = delete;
+    UpstreamLink &operator=(const UpstreamLink &) = delete;
+
+    /** Sends a request. bytes: its head and body. */
+    void send(std::string_view bytes, const std::string &requestId, bool headRequest, LinkHooks hooks);
+
+    /** The hook is called when an idle connection is closed by the other side or receives bytes. */
+    void setIdleHook(std::function<void()> onEnd);
+
+    /** The answer is complete, the whole request was sent, and neither side is closing. */
+    bool reusable() const;
+
+    /** The request has begun to leave this process on an open connection. */
+    bool connected() const;
+
+    /** Stops or continues reading, so that an answer does not pile up in memory. */
+    void pauseReading(bool paused);
+
+    /** Time of the last complete answer; the epoch before the first. */
+    TimePoint lastAnswer() const;
+
+    /** How long an idle connection may be kept, from the upstream's own statement. */
+    Duration idleLimit() const;
+
+private:
+    static void onRead(bufferevent *bufferedSocket, void *self);
+    static void onEvent(bufferevent *bufferedSocket, short what, void *self);
+    void open();
+    void readInput();
+    void takeHead(MessageHead &&head);
+    void takeComplete();
+    void fail(LinkFailure failure);
+    void endIdle();
+
+    net::EventLoop &m_loop;
+    settings::Endpoint m_address;
+    std::string m_requestIdHeader;
+    MessageParser m_parser;
+    net::Timer m_connectTimer;
+    bufferevent *m_socket = nullptr;
+    LinkHooks m_hooks;
+    std::function<void()> m_onIdleEnd;
+    std::string m_requestId;
+    MessageHead m_answer;
+    TimePoint m_lastAnswer{};
+    Duration m_idleLimit;
+    bool m_connected = false;
+    bool m_busy = false;
+    bool m_skipping = false; ///< the present answer belongs to another request
+    bool m_closing = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/** Sets a socket up so that a silent other side is noticed: keep-alive probes and a bound on unacknowledged bytes. */
+void detectSilence(int socket);
+
+} // namespace jackdawdoor::proxy
