Cover every upstream within two seconds, fit the gray model, share the retry slack from the start

A trial with random choice showed gray episodes of 3 to 18 s, about 8 s in the mean; the model assumed 2.5 s.

--- a/src/fleet/upstreamboard.cpp
+++ b/src/fleet/upstreamboard.cpp
@@ -72,9 +72,10 @@
     return found == m_byKey.end() ? nullptr : found->second;
 }
 
-void UpstreamBoard::begin(UpstreamRecord &record)
+void UpstreamBoard::begin(TimePoint now, UpstreamRecord &record)
 {
     ++record.ownInFlight;
+    record.lastUsed = now;
 }
 
 void UpstreamBoard::end(TimePoint now, const UpstreamId &id, std::int64_t born, AttemptOutcome outcome, Duration took)
@@ -92,13 +93,11 @@
         record.belief.addSuccesses(now, 1);
         ++record.unreportedSuccesses;
         record.unreachableInRow = 0;
-        record.answeredAnyone = true;
         record.meanLatency = record.meanLatency == 0 ? toSeconds(took) : record.meanLatency + latencyWeight * (toSeconds(took) - record.meanLatency);
         return;
     case AttemptOutcome::Failed:
     case AttemptOutcome::TimedOut:
         record.belief.addFailures(now, 1);
-        record.answeredAnyone = true;
         return;
     case AttemptOutcome::NotRun:
         record.fullUntil = now + fullHold;
@@ -132,7 +131,7 @@
 {
     if (UpstreamRecord *record = findKey(notice.key)) {
         record->belief.addFailures(now, 1);
-        record->answeredAnyone = true;
+        record->lastUsed = now;
     }
 }
 
@@ -152,10 +151,9 @@
     load = {now, report.items};
     applyLoad(load, +1);
     for (const LoadItem &item : report.items) {
-        UpstreamRecord *record = item.successes > 0 ? findKey(item.key) : nullptr;
-        if (record != nullptr) {
+        if (UpstreamRecord *record = findKey(item.key)) {
             record->belief.addSuccesses(now, item.successes);
-            record->answeredAnyone = true;
+            record->lastUsed = now;
         }
     }
 }
--- a/src/fleet/upstreamboard.h
+++ b/src/fleet/upstreamboard.h
@@ -40,7 +40,7 @@
     TimePoint unusableUntil{}; ///< it could not be reached from here, or another upstream has its address
     int unreachableInRow = 0;
     double meanLatency = 0; ///< seconds, moving mean of successful answers; zero before the first
-    bool answeredAnyone = false; ///< any instance had an outcome from it
+    TimePoint lastUsed{}; ///< any instance had a request there; the epoch before the first
     int unreportedSuccesses = 0; ///< own outcomes since the last load report
 
     /** Requests that run there or are on their way. */
@@ -64,7 +64,7 @@
     UpstreamRecord *find(const UpstreamId &id, std::int64_t born);
 
     /** An attempt begins. */
-    void begin(UpstreamRecord &record);
+    void begin(TimePoint now, UpstreamRecord &record);
 
     /** An attempt ended after some time. The record may have gone meanwhile, so it is named. */
     void end(TimePoint now, const UpstreamId &id, std::int64_t born, AttemptOutcome outcome, Duration took);
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -21,8 +21,16 @@
 constexpr double freeLoad = 0.6;
 /** Slower upstreams cost what they take longer, up to this many typical runs. */
 constexpr double maximumSlowCost = 6.0;
-/** Chance of a request to be the first one at an upstream that nobody has used. */
-constexpr double firstUseChance = 0.05;
+/** An upstream without a request from any instance for this long is due for one. */
+constexpr Duration coverageAge = std::chrono::milliseconds{1200};
+/** Chance that a request takes an upstream that is due, growing over this time. The chance stays below one because the
+ * instances learn of each other's choice with the next load report only. */
+constexpr Duration coverageRamp = std::chrono::milliseconds{500};
+constexpr double coverageChance = 0.35;
+/** Upstreams believed bad beyond this are not due for a request that may run once, or may be repeated. An episode of
+ * some eight seconds is over with a fair chance when the belief has fallen to it. */
+constexpr double coverageBeliefOnce = 0.4;
+constexpr double coverageBeliefRepeatable = 0.6;
 
 bool isUsable(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request)
 {
@@ -65,6 +73,18 @@
     return cost;
 }
 
+bool isDue(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random)
+{
+    const bool once = request.repeatability == routing::Repeatability::Once;
+    const double worst = once ? coverageBeliefOnce : coverageBeliefRepeatable;
+    const Duration idle = now - record.lastUsed;
+    if (idle < coverageAge || now < record.warmAt || record.belief.probability(now) > worst) {
+        return false;
+    }
+    const double grown = std::min(1.0, toSeconds(idle - coverageAge) / toSeconds(coverageRamp));
+    return uniform(random) < grown * coverageChance;
+}
+
 } // namespace
 
 const char *reasonName(ChoiceReason reason)
@@ -72,8 +92,8 @@
     switch (reason) {
     case ChoiceReason::LeastCost:
         return "least-cost";
-    case ChoiceReason::FirstUse:
-        return "first-use";
+    case ChoiceReason::Coverage:
+        return "coverage";
     case ChoiceReason::NoUpstream:
         return "no-upstream";
     case ChoiceReason::NoRoom:
@@ -87,7 +107,7 @@
     UpstreamChoice choice;
     double best = std::numeric_limits<double>::max();
     const double typical = board.typicalLatency(request.service);
-    UpstreamRecord *unused = nullptr;
+    UpstreamRecord *due = nullptr;
     for (UpstreamRecord *record : board.ofService(request.service)) {
         if (!isUsable(now, *record, request)) {
             continue;
@@ -97,8 +117,8 @@
         if (!hasRoom(now, *record)) {
             continue;
         }
-        if (!record->answeredAnyone && record->inFlight() == 0 && now >= record->warmAt) {
-            unused = record;
+        if ((due == nullptr || record->lastUsed < due->lastUsed) && isDue(now, *record, request, random)) {
+            due = record;
         }
         // A little randomness keeps instances that know the same from choosing the same upstream at the same moment.
         const double cost = costOf(now, *record, request, typical) + 0.1 * uniform(random);
@@ -109,10 +129,10 @@
             choice.cost = cost;
         }
     }
-    if (unused != nullptr && uniform(random) < firstUseChance) {
-        choice.upstream = unused;
-        choice.reason = ChoiceReason::FirstUse;
-        choice.cost = costOf(now, *unused, request, typical);
+    if (due != nullptr) {
+        choice.upstream = due;
+        choice.reason = ChoiceReason::Coverage;
+        choice.cost = costOf(now, *due, request, typical);
     }
     if (choice.upstream != nullptr) {
         choice.belief = choice.upstream->belief.probability(now);
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -2,7 +2,9 @@
  *
  * The cost of an upstream is the expected loss of a failure there plus the expected wait. A request that may run only
  * once loses everything by a failure, so it goes to upstreams that have answered lately; one that may be repeated loses
- * some time, so it also tries those about which little is known.
+ * some time, so it also tries those about which little is known. Every upstream that is not known to be bad gets a
+ * request every two seconds from some instance: so that a new or recovered one is found, and so that the work is never
+ * left with a few of many sound upstreams.
  */
 #pragma once
 
@@ -26,7 +28,7 @@
 /** Why an upstream was chosen or none was. */
 enum class ChoiceReason {
     LeastCost,
-    FirstUse, ///< nobody has used this upstream yet
+    Coverage, ///< no instance has used this upstream lately
     NoUpstream, ///< the service has no upstream that is ready
     NoRoom, ///< all usable upstreams are full
 };
--- a/src/health/graybelief.h
+++ b/src/health/graybelief.h
@@ -13,9 +13,9 @@
 
 /** Assumed behaviour of upstreams. */
 struct GrayModel {
-    double shareGray = 0.25; ///< of time that an upstream spends in episodes
-    Duration relaxation = std::chrono::milliseconds{2500}; ///< time constant with which an outcome loses its meaning
-    double failuresGray = 0.75; ///< share of requests that fail in an episode
+    double shareGray = 0.3; ///< of time that an upstream spends in episodes
+    Duration relaxation = std::chrono::milliseconds{6000}; ///< time constant with which an outcome loses its meaning
+    double failuresGray = 0.8; ///< share of requests that fail in an episode
     double failuresSound = 0.015; ///< share of requests that fail outside of one
 
     bool operator==(const GrayModel &) const = default;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -156,7 +156,7 @@
     fleet::UpstreamRecord &record = *choice.upstream;
     ++m_sends;
     m_tried.push_back(record.entry.id);
-    m_context.board.begin(record);
+    m_context.board.begin(now, record);
     logChoice(m_requestId, m_service, choice, *m_table, m_sends);
     Attempt::Hooks hooks;
     hooks.onEnd = [this](Attempt &attempt) {
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -27,6 +27,9 @@
     bool operator==(const FleetRetryLimits &) const = default;
 };
 
+/** Until the fleet is known, an instance takes it for this large. */
+constexpr int initialSharers = 64;
+
 /** Shared state. */
 struct RequestContext {
     net::EventLoop &loop;
@@ -42,7 +45,7 @@
     FleetRetryLimits retryLimits{};
     RandomSource random;
     ProxyMetrics metrics{};
-    int sharers = 1; ///< instances that share the slack of the retry budget
+    int sharers = initialSharers; ///< instances that share the slack of the retry budget
     bool stopping = false; ///< new requests are refused
     std::function<void(const fleet::FleetMessage &)> broadcast{}; ///< to all live instances
 
