--- a/src/fleet/upstreamboard.cpp
+++ b/src/fleet/upstreamboard.cpp
@@ -93,7 +93,8 @@
         record.belief.addSuccesses(now, 1);
         ++record.unreportedSuccesses;
         record.unreachableInRow = 0;
-        record.meanLatency = record.meanLatency == 0 ? toSeconds(took) : record.meanLatency + latencyWeight * (toSeconds(took) - record.meanLatency);
+        record.meanLatency =
+            record.meanLatency == 0 ? toSeconds(took) : record.meanLatency + latencyWeight * (toSeconds(took) - record.meanLatency);
         return;
     case AttemptOutcome::Failed:
     case AttemptOutcome::TimedOut:
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -93,10 +93,8 @@
         for (const json &cluster : document.at("clusters")) {
             services.push_back({ServiceId{cluster.at("name").get<std::string>()}, cluster.value("max-conns", 0)});
         }
-        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(decodeVersion(document.at("version")),
-                                                                                      std::move(routes),
-                                                                                      std::move(services),
-                                                                                      decodeLimits(document)));
+        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(
+            decodeVersion(document.at("version")), std::move(routes), std::move(services), decodeLimits(document)));
     } catch (const json::exception &error) {
         return Error{"decode configuration", "store", error.what()};
     }
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -143,7 +143,10 @@
     call->hook(answer);
 }
 
-void StoreClient::newest(const char *topic, const std::string &after, std::shared_ptr<NewestPage> collected, Continuation<NewestPage> done)
+void StoreClient::newest(const char *topic,
+                         const std::string &after,
+                         const std::shared_ptr<NewestPage> &collected,
+                         const Continuation<NewestPage> &done)
 {
     std::string target = std::string("/v1/log-newest?topic=") + topic + "&part=0";
     if (!after.empty()) {
@@ -170,11 +173,11 @@
     });
 }
 
-void StoreClient::changes(const char *topic, proxy::StoreOffset from, Duration wait, Continuation<LogRecords> done)
+void StoreClient::changes(const char *topic, proxy::StoreOffset from, Duration wait, const Continuation<LogRecords> &done)
 {
     const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     const std::string target = std::string("/v1/log-read?topic=") + topic + "&part=0&from=" + std::to_string(from)
-        + "&wait-ms=" + std::to_string(waitMilliseconds);
+                               + "&wait-ms=" + std::to_string(waitMilliseconds);
     call("log-read", "GET", target, {}, callTimeout + wait, [from, done](const Result<Answer> &answer) {
         if (!answer.has_value()) {
             done(answer.error());
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -68,10 +68,16 @@
     template <typename Value>
     using Continuation = proxy::StoreAccess::Continuation<Value>;
 
-    void call(const char *name, const std::string &method, const std::string &target, const std::string &body, Duration timeout, AnswerHook hook);
+    void call(const char *name,
+              const std::string &method,
+              const std::string &target,
+              const std::string &body,
+              Duration timeout,
+              AnswerHook hook);
     void endCall(Call *call, const Result<Answer> &answer);
-    void newest(const char *topic, const std::string &after, std::shared_ptr<NewestPage> collected, Continuation<NewestPage> done);
-    void changes(const char *topic, proxy::StoreOffset from, Duration wait, Continuation<LogRecords> done);
+    void
+    newest(const char *topic, const std::string &after, const std::shared_ptr<NewestPage> &collected, const Continuation<NewestPage> &done);
+    void changes(const char *topic, proxy::StoreOffset from, Duration wait, const Continuation<LogRecords> &done);
     void readConfiguration(proxy::StoreOffset from, Duration wait, const Continuation<proxy::ConfigurationReading> &done);
     void readUpstreams(proxy::StoreOffset from, const Continuation<proxy::UpstreamReading> &done);
     void registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done);
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -12,8 +12,8 @@
 bool isReplaced(const net::Header &header, const HeaderNames &names)
 {
     return net::equalsIgnoreCase(header.name, names.deadline) || net::equalsIgnoreCase(header.name, names.intendedUpstream)
-        || net::equalsIgnoreCase(header.name, "Content-Length") || net::equalsIgnoreCase(header.name, "Expect")
-        || net::equalsIgnoreCase(header.name, "Keep-Alive");
+           || net::equalsIgnoreCase(header.name, "Content-Length") || net::equalsIgnoreCase(header.name, "Expect")
+           || net::equalsIgnoreCase(header.name, "Keep-Alive");
 }
 
 } // namespace
--- a/src/proxy/datagramsocket.cpp
+++ b/src/proxy/datagramsocket.cpp
@@ -78,8 +78,7 @@
     for (int count = 0; count < readsPerTurn; ++count) {
         sockaddr_storage from{};
         socklen_t length = sizeof(from);
-        const ssize_t size =
-            recvfrom(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&from), &length);
+        const ssize_t size = recvfrom(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&from), &length);
         if (size < 0) {
             return;
         }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -79,8 +79,7 @@
     hooks.onUpstreams = [this] {
         m_context.board.setEntries(net::now(), m_feed->catalogue().entries());
     };
-    hooks.onRead = [] {
-    };
+    hooks.onRead = [] {};
     m_feed = std::make_unique<StoreFeed>(m_loop, m_access, m_settings.instance, m_settings.dataCentre, std::move(hooks));
     m_peerServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
         answerPeer(request);
@@ -128,6 +127,16 @@
     return m_feed && m_feed->ready() && m_onStopped == nullptr;
 }
 
+std::uint64_t Gateway::configurationVersion() const
+{
+    return m_context.routes ? m_context.routes->version() : 0;
+}
+
+std::vector<fleet::UpstreamEntry> Gateway::upstreams() const
+{
+    return m_feed->catalogue().entries();
+}
+
 ProxyMetrics &Gateway::metrics()
 {
     return m_context.metrics;
@@ -287,12 +296,13 @@
         return;
     }
     m_nextRegistration = now + registrationRetry;
-    m_access.registerInstance({m_settings.instance, m_settings.peers.text(), m_settings.dataCentre, false}, [this](const Result<bool> &done) {
-        m_registered = m_registered || done.has_value();
-        if (!done.has_value()) {
-            telemetry::writeLog(LogLevel::Warning, "register instance", done.error().message());
-        }
-    });
+    m_access.registerInstance({m_settings.instance, m_settings.peers.text(), m_settings.dataCentre, false},
+                              [this](const Result<bool> &done) {
+                                  m_registered = m_registered || done.has_value();
+                                  if (!done.has_value()) {
+                                      telemetry::writeLog(LogLevel::Warning, "register instance", done.error().message());
+                                  }
+                              });
 }
 
 void Gateway::listPeers()
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -48,6 +48,12 @@
     /** Instances on which callers of the host should connect, from a data centre. */
     DirectoryAnswer addressesFor(const std::string &host, const DataCentreId &dataCentre);
 
+    /** Version of the configuration in force; zero before the first. */
+    std::uint64_t configurationVersion() const;
+
+    /** Upstreams known from the platform. */
+    std::vector<fleet::UpstreamEntry> upstreams() const;
+
     /** Metrics of this process. */
     ProxyMetrics &metrics();
 
--- a/src/proxy/proxyanswer.cpp
+++ b/src/proxy/proxyanswer.cpp
@@ -47,7 +47,7 @@
     net::Headers headers = net::withoutHopByHop(head.headers);
     std::erase_if(headers, [&names](const net::Header &header) {
         return net::equalsIgnoreCase(header.name, "Content-Length") || net::equalsIgnoreCase(header.name, "Keep-Alive")
-            || net::equalsIgnoreCase(header.name, names.notRun);
+               || net::equalsIgnoreCase(header.name, names.notRun);
     });
     return headers;
 }
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -24,7 +24,8 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests = counter(registry, "jackdawdoor_requests_total", "Requests by outcome");
     prometheus::Family<prometheus::Counter> &attempts = counter(registry, "jackdawdoor_attempts_total", "Attempts by service and end");
-    prometheus::Family<prometheus::Counter> &storeCalls = counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
+    prometheus::Family<prometheus::Counter> &storeCalls =
+        counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
                                          .Name("jackdawdoor_request_seconds")
                                          .Help("Time from the first byte of a request to its final answer")
--- a/src/proxy/storefeed.cpp
+++ b/src/proxy/storefeed.cpp
@@ -115,7 +115,8 @@
         return;
     }
     if (m_storeReached) {
-        telemetry::writeLog(LogLevel::Warning, "read store", error->message(), {{"age-ms", std::to_string(m_duty.age(began).count() / 1000)}});
+        telemetry::writeLog(
+            LogLevel::Warning, "read store", error->message(), {{"age-ms", std::to_string(m_duty.age(began).count() / 1000)}});
     }
     m_storeReached = false;
     m_retryAt = net::now() + firstPause * (1 << std::min(m_failures, maximumDoublings));
@@ -134,10 +135,8 @@
     }
     m_table = table.value();
     m_configurationText = text;
-    telemetry::writeLog(LogLevel::Info,
-                        "take configuration",
-                        "in force",
-                        {{"version", std::to_string(m_table->version())}, {"source", source}});
+    telemetry::writeLog(
+        LogLevel::Info, "take configuration", "in force", {{"version", std::to_string(m_table->version())}, {"source", source}});
     m_hooks.onConfiguration(m_table);
 }
 
@@ -207,7 +206,7 @@
     const TimePoint asked = net::now();
     net::FetchRequest request;
     request.url = "http://" + from.text() + "/state?configuration=" + std::to_string(m_table ? m_table->version() : 0)
-        + "&catalogue=" + std::to_string(m_fingerprint);
+                  + "&catalogue=" + std::to_string(m_fingerprint);
     request.timeout = fetchTimeout;
     net::fetch(m_loop, request, [this, asked, from](const Result<net::FetchAnswer> &answer) {
         m_fetching = false;
--- a/src/proxy/upstreamlink.cpp
+++ b/src/proxy/upstreamlink.cpp
@@ -139,7 +139,7 @@
 bool UpstreamLink::reusable() const
 {
     return m_socket != nullptr && m_connected && !m_busy && !m_closing && !m_parser.failed()
-        && evbuffer_get_length(bufferevent_get_output(m_socket)) == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
+           && evbuffer_get_length(bufferevent_get_output(m_socket)) == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
 }
 
 bool UpstreamLink::connected() const
--- a/src/telemetry/boundedlog.cpp
+++ b/src/telemetry/boundedlog.cpp
@@ -77,7 +77,8 @@
 class PendingLinesBackend : public BackendBase
 {
 public:
-    void consume(const boost::log::record_view & /*record*/, const string_type &line) // NOLINT(readability-convert-member-functions-to-static)
+    void consume(const boost::log::record_view & /*record*/,
+                 const string_type &line) // NOLINT(readability-convert-member-functions-to-static)
     {
         pendingLines().add(line);
     }
--- /dev/null
+++ b/test/correctness/proxy_test.cpp
@@ -0,0 +1,324 @@
+/** The whole path of one instance on the users' platform, against stand-ins for the store and for upstreams. */
+#include "standins/proxyinstance.h"
+#include "standins/rawclient.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace jackdawdoor;
+using standins::callerRequest;
+using standins::PlatformStore;
+using standins::ProxyInstance;
+using standins::RawClient;
+using standins::ReceivedRequest;
+using standins::ScriptedReply;
+using standins::ScriptedUpstream;
+using standins::StoreFault;
+
+namespace {
+
+ScriptedReply healthy(const ReceivedRequest &request)
+{
+    return {ScriptedUpstream::answerTo(request, 200, "body"), false, false, false, {}};
+}
+
+std::string ask(int port, const std::string &request)
+{
+    RawClient client(port);
+    client.send(request);
+    return client.receiveAnswer();
+}
+
+bool hasStatus(const std::string &answer, int status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status));
+}
+
+/** One instance before some upstreams. */
+struct World {
+    explicit World(const std::vector<ScriptedUpstream *> &upstreams)
+    {
+        standins::putConfiguration(store, 1);
+        int number = 0;
+        for (const ScriptedUpstream *upstream : upstreams) {
+            standins::putUpstream(store, "u" + std::to_string(++number), upstream->address(), 1);
+        }
+        instance = std::make_unique<ProxyInstance>(store);
+        REQUIRE_MESSAGE(instance->waitForVersion(1), "the configuration did not come into force");
+        REQUIRE_MESSAGE(instance->waitForUpstreams(upstreams.size()), "the upstreams did not become known");
+    }
+
+    PlatformStore store;
+    std::unique_ptr<ProxyInstance> instance;
+};
+
+} // namespace
+
+TEST_CASE("a request reaches an upstream unchanged and its answer comes back with the signature")
+{
+    ScriptedUpstream upstream(healthy);
+    const World world({&upstream});
+    const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a?b=c", "id-1", "order"));
+    CHECK_MESSAGE(hasStatus(answer, 200), "unexpected answer: " << answer);
+    CHECK_MESSAGE(answer.find("X-Jackdawdoor-Response-Signature: s") != std::string::npos, "the signature is missing: " << answer);
+    REQUIRE(upstream.requests().size() == 1);
+    const ReceivedRequest received = upstream.requests().front();
+    CHECK(received.head.starts_with("POST /once/a?b=c HTTP/1.1"));
+    CHECK(received.body == "order");
+    CHECK(received.header("X-Jackdawdoor-Request-Id") == "id-1");
+    CHECK(received.header("X-Jackdawdoor-Intended-Instance") == "u1");
+    const auto deadline = net::parseNumber(received.header("X-Jackdawdoor-Deadline-Ms"));
+    CHECK_MESSAGE((deadline && *deadline <= 3000), "the deadline is longer than the route's timeout");
+}
+
+TEST_CASE("without a route the answer is 404, and without a configuration 503 with a time to come back")
+{
+    ScriptedUpstream upstream(healthy);
+    const World world({&upstream});
+    CHECK(hasStatus(ask(world.instance->callersPort(), callerRequest("GET", "/other/a", "id-1")), 404));
+    PlatformStore empty;
+    ProxyInstance fresh(empty);
+    const std::string answer = ask(fresh.callersPort(), callerRequest("GET", "/safe/a", "id-2"));
+    CHECK_MESSAGE(hasStatus(answer, 503), "unexpected answer: " << answer);
+    CHECK_MESSAGE(answer.find("Retry-After: ") != std::string::npos, "the time to come back is missing: " << answer);
+    CHECK_MESSAGE(hasStatus(ask(fresh.readinessPort(), "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n"), 503),
+                  "an instance without a configuration says that it is ready");
+}
+
+TEST_CASE("an order whose connection is reset is not sent again, and a read is")
+{
+    ScriptedUpstream broken([](const ReceivedRequest &) {
+        return ScriptedReply{{}, false, true, false, {}};
+    });
+    SUBCASE("order")
+    {
+        ScriptedUpstream second([](const ReceivedRequest &) {
+            return ScriptedReply{{}, false, true, false, {}};
+        });
+        const World world({&broken, &second});
+        const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-1", "order"));
+        CHECK_MESSAGE(hasStatus(answer, 502), "unexpected answer: " << answer);
+        CHECK_MESSAGE(broken.requests().size() + second.requests().size() == 1, "the order reached more than one upstream");
+    }
+    SUBCASE("read")
+    {
+        ScriptedUpstream sound(healthy);
+        const World world({&broken, &sound});
+        for (int count = 0; count < 6; ++count) {
+            const std::string answer = ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-" + std::to_string(count)));
+            // The first requests have saved up no retry yet.
+            CHECK_MESSAGE((hasStatus(answer, 200) || count < 2), "unexpected answer: " << answer);
+        }
+    }
+}
+
+TEST_CASE("an order that an upstream proves not to have run goes to another upstream")
+{
+    ScriptedUpstream full([](const ReceivedRequest &) {
+        return ScriptedReply{"HTTP/1.1 503 X\r\nX-Jackdawdoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false, false, {}};
+    });
+    ScriptedUpstream sound(healthy);
+    const World world({&full, &sound});
+    int answered = 0;
+    for (int count = 0; count < 20; ++count) {
+        const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-" + std::to_string(count), "x"));
+        answered += hasStatus(answer, 200) ? 1 : 0;
+        CHECK_MESSAGE((hasStatus(answer, 200) || hasStatus(answer, 503)), "unexpected answer: " << answer);
+    }
+    CHECK_MESSAGE(answered >= 18, "orders were not sent to the other upstream; answered: " << answered);
+}
+
+TEST_CASE("a refusal that an upstream does not prove is not passed on as a promise")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        return ScriptedReply{ScriptedUpstream::answerTo(request, 503, ""), false, false, false, {}};
+    });
+    const World world({&upstream});
+    const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-1", "x"));
+    CHECK_MESSAGE(hasStatus(answer, 502), "an order that may have run was answered: " << answer);
+}
+
+TEST_CASE("an extra answer to an earlier request is not taken for the answer to a later one")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        ReceivedRequest earlier = request;
+        earlier.head = "X\r\nX-Jackdawdoor-Request-Id: earlier\r\n";
+        return ScriptedReply{ScriptedUpstream::answerTo(earlier, 200, "stranger") + ScriptedUpstream::answerTo(request, 200, "own"),
+                             false,
+                             false,
+                             false,
+                             {}};
+    });
+    const World world({&upstream});
+    const std::string answer = ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-1"));
+    CHECK_MESSAGE(answer.ends_with("own"), "unexpected answer: " << answer);
+}
+
+TEST_CASE("an answer that is broken off never looks complete, and one without a length ends with its connection")
+{
+    SUBCASE("broken off")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &request) {
+            std::string bytes = ScriptedUpstream::answerTo(request, 200, std::string(1000, 'x'));
+            bytes.resize(bytes.size() - 1);
+            return ScriptedReply{bytes, true, false, false, {}};
+        });
+        const World world({&upstream});
+        const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-1", "x"));
+        CHECK_MESSAGE(!hasStatus(answer, 200), "a broken answer was passed on as a success");
+    }
+    SUBCASE("without a length")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &request) {
+            const std::string head = "HTTP/1.1 200 X\r\nX-Jackdawdoor-Response-Signature: s\r\nX-Jackdawdoor-Request-Id: "
+                                     + request.header("X-Jackdawdoor-Request-Id") + "\r\n\r\n";
+            return ScriptedReply{head + "whole", true, false, false, {}};
+        });
+        const World world({&upstream});
+        const std::string answer = ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-1"));
+        CHECK_MESSAGE((hasStatus(answer, 200) && answer.ends_with("whole")), "unexpected answer: " << answer);
+    }
+    SUBCASE("without a length and reset")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &request) {
+            const std::string head = "HTTP/1.1 200 X\r\nX-Jackdawdoor-Response-Signature: s\r\nX-Jackdawdoor-Request-Id: "
+                                     + request.header("X-Jackdawdoor-Request-Id") + "\r\n\r\n";
+            return ScriptedReply{head + "half", false, true, false, {}};
+        });
+        const World world({&upstream});
+        const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-1", "x"));
+        CHECK_MESSAGE(!hasStatus(answer, 200), "an answer that was reset was passed on as a success");
+    }
+}
+
+TEST_CASE("the route's timeout ends a request on time with 504")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &) {
+        return ScriptedReply{{}, false, false, true, {}};
+    });
+    const World world({&upstream});
+    const TimePoint begin = net::now();
+    const std::string answer = ask(world.instance->callersPort(), callerRequest("GET", "/slow/a", "id-1"));
+    CHECK_MESSAGE(hasStatus(answer, 504), "unexpected answer: " << answer);
+    CHECK_MESSAGE(net::now() - begin < std::chrono::milliseconds{300 + 250}, "the answer came later than 250 ms after the route's timeout");
+}
+
+TEST_CASE("a caller that leaves ends the work at the upstream")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &) {
+        return ScriptedReply{{}, false, false, true, {}};
+    });
+    const World world({&upstream});
+    {
+        RawClient client(world.instance->callersPort());
+        client.send(callerRequest("GET", "/safe/a", "id-1"));
+        for (int count = 0; count < 100 && upstream.requests().empty(); ++count) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        REQUIRE(upstream.requests().size() == 1);
+    }
+    for (int count = 0; count < 50 && upstream.abandoned() == 0; ++count) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    CHECK_MESSAGE(upstream.abandoned() == 1, "the upstream was still at work half a second after the caller left");
+}
+
+TEST_CASE("a draining upstream gets no new request within the store's reading and a notice")
+{
+    ScriptedUpstream leaving(healthy);
+    ScriptedUpstream staying(healthy);
+    World world({&leaving, &staying});
+    standins::putUpstream(world.store, "u1", leaving.address(), 2, "draining");
+    std::this_thread::sleep_for(std::chrono::milliseconds{1000});
+    const std::size_t before = leaving.requests().size();
+    for (int count = 0; count < 30; ++count) {
+        ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-" + std::to_string(count)));
+    }
+    CHECK_MESSAGE(leaving.requests().size() == before, "a draining upstream got a request a second after its report");
+}
+
+TEST_CASE("an entry of another writer names no upstream and hurts no other")
+{
+    ScriptedUpstream upstream(healthy);
+    World world({&upstream});
+    world.store.put("keyed.servers", "x1", "{\"address\": 7}");
+    world.store.put("keyed.servers", "x2", "\x01\x02");
+    world.store.put("keyed.servers",
+                    "u1",
+                    "{\"address\":\"10.0.0.1:1\",\"info\":{\"service\":\"svc\",\"zone\":\"dc-1\",\"slots\":\"six\"},"
+                    "\"status\":{\"state\":\"ready\",\"seq-no\":9}}");
+    standins::putUpstream(world.store, "u2", upstream.address(), 1);
+    CHECK_MESSAGE(world.instance->waitForUpstreams(2), "the entries after the unreadable ones were not taken");
+    CHECK(hasStatus(ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-1")), 200));
+}
+
+TEST_CASE("versions only go forward, and an outage of the store leaves the last one in force")
+{
+    ScriptedUpstream upstream(healthy);
+    World world({&upstream});
+    standins::putConfiguration(world.store, 5);
+    REQUIRE(world.instance->waitForVersion(5));
+    standins::putConfiguration(world.store, 3);
+    std::this_thread::sleep_for(std::chrono::milliseconds{600});
+    std::uint64_t version = 0;
+    world.instance->call([&](proxy::Gateway &gateway) {
+        version = gateway.configurationVersion();
+    });
+    CHECK_MESSAGE(version == 5, "an older version came into force: " << version);
+    for (const StoreFault fault : {StoreFault::Busy, StoreFault::TooMany, StoreFault::Silent, StoreFault::LostAnswer}) {
+        world.store.behave(fault);
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        CHECK(hasStatus(ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "id-1")), 200));
+    }
+    world.store.behave(StoreFault::None);
+    standins::putConfiguration(world.store, 6);
+    CHECK_MESSAGE(world.instance->waitForVersion(6), "the instance did not return to the store after the outage");
+}
+
+TEST_CASE("records that the store has dropped are read anew from the newest of each key")
+{
+    ScriptedUpstream upstream(healthy);
+    World world({&upstream});
+    world.store.behave(StoreFault::Busy);
+    standins::putUpstream(world.store, "u2", upstream.address(), 1);
+    world.store.put("keyed.servers", "u1", "");
+    world.store.compact("keyed.servers");
+    standins::putConfiguration(world.store, 2);
+    world.store.compact("keyed.op");
+    world.store.behave(StoreFault::None);
+    CHECK_MESSAGE(world.instance->waitForVersion(2), "the configuration after a compaction was not found");
+    CHECK_MESSAGE(world.instance->waitForUpstreams(1), "the removal in a dropped record was not noticed");
+}
+
+TEST_CASE("a planned stop finishes requests in progress and then ends")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        ScriptedReply reply = healthy(request);
+        reply.delay = std::chrono::milliseconds{1500};
+        return reply;
+    });
+    World world({&upstream});
+    RawClient client(world.instance->callersPort());
+    client.send(callerRequest("POST", "/once/a", "id-1", "order"));
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    world.instance->beginStop();
+    CHECK(hasStatus(ask(world.instance->readinessPort(), "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n"), 503));
+    const std::string answer = client.receiveAnswer();
+    CHECK_MESSAGE(hasStatus(answer, 200), "the stop cut a request: " << answer);
+    CHECK_MESSAGE(answer.find("Connection: close") != std::string::npos, "the caller was not told to leave: " << answer);
+    for (int count = 0; count < 600 && !world.instance->stopped(); ++count) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    CHECK_MESSAGE(world.instance->stopped(), "the process did not end within the stop time");
+}
+
+TEST_CASE("the directory names this instance while it is ready")
+{
+    ScriptedUpstream upstream(healthy);
+    const World world({&upstream});
+    const std::string request = "GET /v1/resolve?name=h.example&region=r&zone=dc-1 HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string answer = ask(world.instance->directoryPort(), request);
+    CHECK_MESSAGE(answer.find("127.0.0.1:" + std::to_string(world.instance->callersPort())) != std::string::npos,
+                  "unexpected answer: " << answer);
+}
--- /dev/null
+++ b/test/standins/platformstore.cpp
@@ -0,0 +1,192 @@
+#include "standins/platformstore.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace jackdawdoor::standins {
+
+namespace {
+
+using net::queryParameter;
+
+constexpr int ok = 200;
+constexpr Duration pollPeriod = std::chrono::milliseconds{10};
+
+std::string bigEndian(std::uint64_t value, int size)
+{
+    std::string bytes;
+    for (int index = size - 1; index >= 0; --index) {
+        bytes += static_cast<char>((value >> (8 * index)) & 0xff);
+    }
+    return bytes;
+}
+
+std::uint64_t fromBigEndian(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (const char byte : bytes) {
+        value = value * 256 + static_cast<unsigned char>(byte);
+    }
+    return value;
+}
+
+} // namespace
+
+PlatformStore::PlatformStore()
+    : m_server([this](const StandinServer::Exchange &exchange, const net::RequestContent &request) {
+        handle(exchange, request);
+    })
+{
+}
+
+const StandinServer &PlatformStore::server() const
+{
+    return m_server;
+}
+
+void PlatformStore::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    m_server.loop().call([&] {
+        m_topics[topic].records.push_back({key, value});
+    });
+}
+
+void PlatformStore::compact(const std::string &topic)
+{
+    m_server.loop().call([&] {
+        m_topics[topic].first = m_topics[topic].records.size();
+    });
+}
+
+void PlatformStore::behave(StoreFault fault)
+{
+    m_server.loop().call([&] {
+        m_fault = fault;
+        m_silent.clear();
+    });
+}
+
+int PlatformStore::calls()
+{
+    int count = 0;
+    m_server.loop().call([&] {
+        count = m_calls;
+    });
+    return count;
+}
+
+std::string PlatformStore::newest(const std::string &topic, const std::string &key)
+{
+    std::string value;
+    m_server.loop().call([&] {
+        for (const Record &record : m_topics[topic].records) {
+            value = record.key == key ? record.value : value;
+        }
+    });
+    return value;
+}
+
+void PlatformStore::handle(const StandinServer::Exchange &exchange, const net::RequestContent &request)
+{
+    constexpr int unavailable = 503;
+    constexpr int tooMany = 429;
+    ++m_calls;
+    switch (m_fault) {
+    case StoreFault::Busy:
+        exchange->reply(unavailable, {}, "");
+        return;
+    case StoreFault::TooMany:
+        exchange->reply(tooMany, {}, "");
+        return;
+    case StoreFault::Silent:
+        m_silent.push_back(exchange);
+        return;
+    case StoreFault::LostAnswer:
+        if (request.method == "POST") {
+            answerAppend(exchange, request);
+        }
+        exchange->abort();
+        return;
+    case StoreFault::None:
+        answer(exchange, request);
+        return;
+    }
+}
+
+void PlatformStore::answer(const StandinServer::Exchange &exchange, const net::RequestContent &request)
+{
+    const std::string path = request.path();
+    if (path == "/v1/log-read") {
+        answerRead(exchange, request.target, Duration::zero());
+    } else if (path == "/v1/log-newest") {
+        answerNewest(exchange, request.target);
+    } else if (path == "/v1/log-append") {
+        answerAppend(exchange, request);
+    } else {
+        constexpr int notFound = 404;
+        exchange->reply(notFound, {}, "");
+    }
+}
+
+void PlatformStore::answerRead(const StandinServer::Exchange &exchange, const std::string &target, Duration waited)
+{
+    const Topic &topic = m_topics[queryParameter(target, "topic")];
+    const std::uint64_t from = net::parseNumber(queryParameter(target, "from")).value_or(0);
+    const Duration wait = std::chrono::milliseconds{net::parseNumber(queryParameter(target, "wait-ms")).value_or(0)};
+    if (from < topic.first) {
+        constexpr int gone = 410;
+        exchange->reply(gone, {}, nlohmann::json{{"first", topic.first}}.dump());
+        return;
+    }
+    if (from >= topic.records.size() && waited < wait) {
+        m_server.later(pollPeriod, [this, exchange, target, waited] {
+            if (!exchange->closed()) {
+                answerRead(exchange, target, waited + pollPeriod);
+            }
+        });
+        return;
+    }
+    std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
+    for (std::uint64_t offset = from; offset < topic.records.size(); ++offset) {
+        const Record &record = topic.records[offset];
+        body += bigEndian(1 + record.key.size() + record.value.size(), 4);
+        body += bigEndian(record.key.size(), 1) + record.key + record.value;
+    }
+    exchange->reply(ok, {}, body);
+}
+
+void PlatformStore::answerNewest(const StandinServer::Exchange &exchange, const std::string &target)
+{
+    const Topic &topic = m_topics[queryParameter(target, "topic")];
+    std::map<std::string, std::uint64_t> newest;
+    for (std::uint64_t offset = 0; offset < topic.records.size(); ++offset) {
+        newest[topic.records[offset].key] = offset;
+    }
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto &[key, offset] : newest) {
+        const std::string &value = topic.records[offset].value;
+        if (!value.empty()) {
+            items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", offset}});
+        }
+    }
+    exchange->reply(ok, {}, nlohmann::json{{"items", items}, {"has-more", false}, {"end-offset", topic.records.size()}}.dump());
+}
+
+void PlatformStore::answerAppend(const StandinServer::Exchange &exchange, const net::RequestContent &request)
+{
+    Topic &topic = m_topics[queryParameter(request.target, "topic")];
+    const std::string_view body = request.body;
+    std::size_t position = 0;
+    while (position + 5 <= body.size()) {
+        const std::uint64_t size = fromBigEndian(body.substr(position, 4));
+        const std::string_view content = body.substr(position + 4, size);
+        const std::uint64_t keySize = fromBigEndian(content.substr(0, 1));
+        topic.records.push_back({std::string(content.substr(1, keySize)), std::string(content.substr(1 + keySize))});
+        position += 4 + size;
+    }
+    if (m_fault == StoreFault::None) {
+        exchange->reply(ok, {}, nlohmann::json{{"end-offset", topic.records.size()}}.dump());
+    }
+}
+
+} // namespace jackdawdoor::standins
--- /dev/null
+++ b/test/standins/platformstore.h
@@ -0,0 +1,67 @@
+/** Stand-in for the platform's metadata store: keyed topics of one partition, as PROTOCOL.md describes them. */
+#pragma once
+
+#include "standins/standinserver.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::standins {
+
+/** What the store does with a call. */
+enum class StoreFault {
+    None,
+    Busy, ///< 503: nothing is done
+    TooMany, ///< 429
+    Silent, ///< no answer
+    LostAnswer, ///< the call is done and its connection closed without an answer
+};
+
+/** Keyed log topics in memory. Methods may be called from any thread. */
+class PlatformStore
+{
+public:
+    PlatformStore();
+
+    const StandinServer &server() const;
+
+    /** Appends a record directly; an empty value drops the key. */
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+
+    /** Deletes the records of a topic before its end; the newest of each key is retained. */
+    void compact(const std::string &topic);
+
+    void behave(StoreFault fault);
+
+    /** Calls received so far. */
+    int calls();
+
+    /** Value of the newest record of a key, or an empty string. */
+    std::string newest(const std::string &topic, const std::string &key);
+
+private:
+    struct Record {
+        std::string key;
+        std::string value;
+    };
+    struct Topic {
+        std::vector<Record> records; ///< all that were ever appended
+        std::uint64_t first = 0; ///< first that is retained
+    };
+
+    void handle(const StandinServer::Exchange &exchange, const net::RequestContent &request);
+    void answer(const StandinServer::Exchange &exchange, const net::RequestContent &request);
+    void answerRead(const StandinServer::Exchange &exchange, const std::string &target, Duration waited);
+    void answerNewest(const StandinServer::Exchange &exchange, const std::string &target);
+    void answerAppend(const StandinServer::Exchange &exchange, const net::RequestContent &request);
+
+    std::map<std::string, Topic> m_topics;
+    std::vector<StandinServer::Exchange> m_silent; ///< never answered
+    StoreFault m_fault = StoreFault::None;
+    int m_calls = 0;
+    StandinServer m_server; // last, so that its thread ends before the state goes
+};
+
+} // namespace jackdawdoor::standins
--- /dev/null
+++ b/test/standins/scriptedupstream.cpp
@@ -0,0 +1,157 @@
+#include "standins/scriptedupstream.h"
+
+#include "net/httpmessage.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jackdawdoor::standins {
+
+namespace {
+
+constexpr int pollMilliseconds = 20;
+
+/** Value of a header line in a request head, or an empty string. */
+std::string findLine(const std::string &head, const std::string &name)
+{
+    std::size_t position = head.find("\r\n");
+    while (position != std::string::npos && position + 2 < head.size()) {
+        const std::size_t end = head.find("\r\n", position + 2);
+        const std::string line = head.substr(position + 2, end - position - 2);
+        const std::size_t colon = line.find(':');
+        if (colon != std::string::npos && net::equalsIgnoreCase(line.substr(0, colon), name)) {
+            return line.substr(line.find_first_not_of(' ', colon + 1));
+        }
+        position = end;
+    }
+    return {};
+}
+
+bool sendAll(int socket, const std::string &bytes)
+{
+    return send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+}
+
+} // namespace
+
+std::string ReceivedRequest::header(const std::string &name) const
+{
+    return findLine(head, name);
+}
+
+ScriptedUpstream::ScriptedUpstream(Script script)
+    : m_script(std::move(script))
+    , m_listener(socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    static_cast<void>(bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+    listen(m_listener, 64);
+    socklen_t length = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
+    m_port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] {
+        acceptAll();
+    });
+}
+
+ScriptedUpstream::~ScriptedUpstream()
+{
+    m_stopping = true;
+    m_acceptor.join();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    close(m_listener);
+}
+
+std::string ScriptedUpstream::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_port);
+}
+
+std::vector<ReceivedRequest> ScriptedUpstream::requests()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+int ScriptedUpstream::abandoned() const
+{
+    return m_abandoned.load();
+}
+
+std::string ScriptedUpstream::answerTo(const ReceivedRequest &request, int status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Jackdawdoor-Request-Id: " + request.header("X-Jackdawdoor-Request-Id")
+           + "\r\nX-Jackdawdoor-Response-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void ScriptedUpstream::acceptAll()
+{
+    while (!m_stopping) {
+        pollfd waiting{m_listener, POLLIN, 0};
+        if (poll(&waiting, 1, pollMilliseconds) > 0) {
+            const int socket = accept(m_listener, nullptr, nullptr);
+            const std::lock_guard lock(m_mutex);
+            m_threads.emplace_back([this, socket] {
+                serve(socket);
+            });
+        }
+    }
+}
+
+void ScriptedUpstream::serve(int socket)
+{
+    std::string input;
+    bool hanging = false;
+    while (!m_stopping) {
+        pollfd waiting{socket, POLLIN, 0};
+        if (poll(&waiting, 1, pollMilliseconds) <= 0) {
+            continue;
+        }
+        char buffer[65536];
+        const ssize_t size = recv(socket, buffer, sizeof(buffer), 0);
+        if (size <= 0) {
+            m_abandoned += hanging ? 1 : 0;
+            break;
+        }
+        input.append(buffer, static_cast<std::size_t>(size));
+        const std::size_t headEnd = input.find("\r\n\r\n");
+        if (headEnd == std::string::npos) {
+            continue;
+        }
+        ReceivedRequest request{input.substr(0, headEnd + 2), {}};
+        const std::size_t length = net::parseNumber(request.header("Content-Length")).value_or(0);
+        if (input.size() < headEnd + 4 + length) {
+            continue;
+        }
+        request.body = input.substr(headEnd + 4, length);
+        input.erase(0, headEnd + 4 + length);
+        ScriptedReply reply;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_requests.push_back(request);
+            reply = m_script(request);
+        }
+        std::this_thread::sleep_for(reply.delay);
+        hanging = reply.hang;
+        if (reply.hang) {
+            continue;
+        }
+        if (reply.resetAfter) {
+            const linger immediately{1, 0};
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        }
+        if (!sendAll(socket, reply.bytes) || reply.closeAfter || reply.resetAfter) {
+            break;
+        }
+    }
+    close(socket);
+}
+
+} // namespace jackdawdoor::standins
--- a/tools/check-core-dependencies.sh
+++ b/tools/check-core-dependencies.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Fails when the decision core depends on an adapter library, a clock, a file or another folder than design.md allows.
 set -euo pipefail
-core="base contract configuration membership placement health limits idempotency routing core"
+core="base contract configuration membership placement health limits idempotency routing fleet core"
 status=0
 for folder in $core; do
     if grep -nE '#include <(event|evhttp|nghttp2|openssl|boost/log|prometheus|thread|mutex|fstream|sys/|unistd|absl/flags)' \
