--- a/src/proxy/upstreamlink.cpp
+++ b/src/proxy/upstreamlink.cpp
@@ -125,10 +125,14 @@
     m_busy = true;
     m_onIdleEnd = {};
     m_parser.expectNoBody(headRequest);
-    if (m_socket == nullptr) {
-        open();
+    if (m_connected) {
+        bufferevent_write(m_socket, bytes.data(), bytes.size());
+        return;
     }
-    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    // libevent would write as soon as the connection is open, before it tells so: a timeout in between would pass for
+    // one before anything was sent.
+    m_unsent = bytes;
+    open();
 }
 
 void UpstreamLink::setIdleHook(std::function<void()> onEnd)
@@ -240,6 +244,8 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         link->m_connected = true;
         link->m_connectTimer.cancel();
+        bufferevent_write(link->m_socket, link->m_unsent.data(), link->m_unsent.size());
+        link->m_unsent = {};
         return;
     }
     if (!link->m_connected) {
--- a/src/proxy/upstreamlink.h
+++ b/src/proxy/upstreamlink.h
@@ -56,7 +56,7 @@
     /** The answer is complete, the whole request was sent, and neither side is closing. */
     bool reusable() const;
 
-    /** The request has begun to leave this process on an open connection. */
+    /** The connection is open, so that the request may have begun to leave this process. */
     bool connected() const;
 
     /** Stops or continues reading, so that an answer does not pile up in memory. */
@@ -87,6 +87,7 @@
     LinkHooks m_hooks;
     std::function<void()> m_onIdleEnd;
     std::string m_requestId;
+    std::string m_unsent; ///< request that waits for the connection to open
     MessageHead m_answer;
     TimePoint m_lastAnswer{};
     Duration m_idleLimit;
--- /dev/null
+++ b/test/error/upstreamlink_test.cpp
@@ -0,0 +1,51 @@
+/** Faults of connections to upstreams. */
+#include "proxy/upstreamlink.h"
+#include "standins/scriptedupstream.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace jackdawdoor;
+using standins::ReceivedRequest;
+using standins::ScriptedReply;
+using standins::ScriptedUpstream;
+
+// Guards against an order that runs twice: a busy instance learnt of the open connection and of the connect timeout at the
+// same time, and the request had left although the attempt was reported as not sent.
+TEST_CASE("a request whose connection is given up before it is known to be open has not been sent")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        return ScriptedReply{ScriptedUpstream::answerTo(request, 200, "x"), false, false, false, {}};
+    });
+    net::EventLoop loop;
+    std::unique_ptr<proxy::UpstreamLink> link;
+    std::atomic<bool> ended{false};
+    std::atomic<bool> unsent{false};
+    loop.start();
+    loop.call([&] {
+        link = std::make_unique<proxy::UpstreamLink>(loop, settings::parseEndpoint(upstream.address()).value(), "X-Jackdawdoor-Request-Id");
+        proxy::LinkHooks hooks;
+        hooks.onComplete = [&] {
+            ended = true;
+        };
+        hooks.onFailure = [&](proxy::LinkFailure failure) {
+            unsent = failure == proxy::LinkFailure::ConnectTimeout || failure == proxy::LinkFailure::NotConnected;
+            ended = true;
+        };
+        link->send("GET / HTTP/1.1\r\nX-Jackdawdoor-Request-Id: id\r\n\r\n", "id", false, std::move(hooks));
+        // The loop is held up past the connect timeout while the connection opens.
+        std::this_thread::sleep_for(std::chrono::milliseconds{400});
+    });
+    for (int count = 0; count < 200 && !ended; ++count) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    REQUIRE_MESSAGE(ended.load(), "the attempt did not end");
+    CHECK_MESSAGE(upstream.requests().size() == (unsent ? 0U : 1U), "a request that was reported as unsent reached the upstream");
+    loop.call([&] {
+        link.reset();
+    });
+    loop.stop();
+}
