--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -283,7 +283,7 @@
 
 bool CallerConnection::idle() const
 {
-    return !m_busy && !m_receiving && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
+    return !m_busy && !m_receiving && unsent() == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
 }
 
 void CallerConnection::onWritten(bufferevent * /*socket*/, void *self)
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -68,7 +68,7 @@
     /** True between a request and the end of its answer. */
     bool busy() const;
 
-    /** True when nothing of a request has been read. */
+    /** True when nothing of a request has been read and every answer has been sent. */
     bool idle() const;
 
 private:
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -390,7 +390,8 @@
     if (since >= m_settings.stopTime - stopReserve) {
         m_proxy.endRequests();
     }
-    if (m_context.stopping && m_proxy.requests() == 0) {
+    const bool finished = m_proxy.requests() == 0 && m_proxy.unsentAnswers() == 0;
+    if (m_context.stopping && (finished || since >= m_settings.stopTime)) {
         telemetry::writeLog(LogLevel::Info, "stop", "every request has ended");
         telemetry::flushLog();
         m_onStopped();
--- a/src/proxy/proxytask.cpp
+++ b/src/proxy/proxytask.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace jackdawdoor::proxy {
@@ -139,6 +140,13 @@
     return count;
 }
 
+std::size_t ProxyTask::unsentAnswers() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second->unsent() > 0;
+    }));
+}
+
 std::size_t ProxyTask::connections() const
 {
     return m_connections.size();
--- a/src/proxy/proxytask.h
+++ b/src/proxy/proxytask.h
@@ -40,6 +40,9 @@
     /** Requests in progress. */
     std::size_t requests() const;
 
+    /** Connections whose last answer has not left yet. */
+    std::size_t unsentAnswers() const;
+
     /** Connections of callers. */
     std::size_t connections() const;
 
