Keep the floor's share of the ready upstreams in use, also of those in gray episodes

Coverage now aims at one request of the fleet for each report period and upstream that is due. The coverage test advanced in whole seconds by a division of integers; it now uses the time of each request, with the same bound.

--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -1,6 +1,7 @@
 #include "fleet/upstreamchoice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace jackdawdoor::fleet {
@@ -22,15 +23,23 @@
 /** Slower upstreams cost what they take longer, up to this many typical runs. */
 constexpr double maximumSlowCost = 6.0;
 /** An upstream without a request from any instance for this long is due for one. */
-constexpr Duration coverageAge = std::chrono::milliseconds{1200};
-/** Chance that a request takes an upstream that is due, growing over this time. The chance stays below one because the
- * instances learn of each other's choice with the next load report only. */
-constexpr Duration coverageRamp = std::chrono::milliseconds{500};
-constexpr double coverageChance = 0.35;
+constexpr Duration coverageAge = std::chrono::milliseconds{1100};
+/** Instances learn of each other's choices with load reports of this period, so that in one period about one request of
+ * the whole fleet should take each upstream that is due. */
+constexpr Duration reportPeriod = std::chrono::milliseconds{250};
+/** Share of the requests that cover upstreams at most. */
+constexpr double maximumCoverage = 0.45;
 /** Upstreams believed bad beyond this are not due for a request that may run once, or may be repeated. An episode of
  * some eight seconds is over with a fair chance when the belief has fallen to it. */
 constexpr double coverageBeliefOnce = 0.4;
 constexpr double coverageBeliefRepeatable = 0.6;
+/** A doubted upstream counts towards the floor for this long after a request; the next one must follow within two
+ * seconds of it. */
+constexpr Duration usedLifetime = std::chrono::milliseconds{1400};
+/** Spreads the choice of an upstream that is due over those that have been idle about as long, in seconds. */
+constexpr double idleSpread = 0.3;
+/** Spreads the choice of a doubted upstream over those with about the same belief. */
+constexpr double beliefSpread = 0.15;
 
 bool isUsable(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request)
 {
@@ -73,17 +82,62 @@
     return cost;
 }
 
-bool isDue(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random)
-{
-    const bool once = request.repeatability == routing::Repeatability::Once;
-    const double worst = once ? coverageBeliefOnce : coverageBeliefRepeatable;
-    const Duration idle = now - record.lastUsed;
-    if (idle < coverageAge || now < record.warmAt || record.belief.probability(now) > worst) {
-        return false;
+/** Longer idle times make no difference. */
+constexpr Duration longestIdle = std::chrono::seconds{10};
+
+/** Upstreams that should get a request although others are better. */
+struct Coverage {
+    UpstreamRecord *due = nullptr; ///< the longest idle of those that are due, about
+    double dueIdle = 0;
+    UpstreamRecord *doubted = nullptr; ///< least doubted of the others that have been idle
+    double doubt = std::numeric_limits<double>::max();
+    int dueCount = 0;
+    int used = 0; ///< upstreams with a request lately
+    int inFlight = 0; ///< of the service
+
+    void consider(TimePoint now, UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random)
+    {
+        inFlight += record.inFlight();
+        const Duration idle = now - record.lastUsed;
+        if (now < record.warmAt) {
+            return;
+        }
+        const bool once = request.repeatability == routing::Repeatability::Once;
+        const double belief = record.belief.probability(now);
+        const bool trusted = belief <= (once ? coverageBeliefOnce : coverageBeliefRepeatable);
+        if (record.inFlight() > 0 || idle < (trusted ? coverageAge : usedLifetime)) {
+            ++used;
+            return;
+        }
+        if (trusted) {
+            ++dueCount;
+            const double spreadIdle = toSeconds(std::min(idle, longestIdle)) + idleSpread * uniform(random);
+            if (spreadIdle > dueIdle) {
+                dueIdle = spreadIdle;
+                due = &record;
+            }
+            return;
+        }
+        const double spread = belief + beliefSpread * uniform(random);
+        if (spread < doubt) {
+            doubt = spread;
+            doubted = &record;
+        }
     }
-    const double grown = std::min(1.0, toSeconds(idle - coverageAge) / toSeconds(coverageRamp));
-    return uniform(random) < grown * coverageChance;
-}
+
+    /** The upstream that the present request covers, or nullptr. */
+    UpstreamRecord *pick(const ChoiceRequest &request, int ready, double typicalLatency, RandomSource &random) const
+    {
+        const int missing = static_cast<int>(std::ceil(request.floorShare * ready)) - used - dueCount;
+        const bool useDoubted = missing > 0 && doubted != nullptr;
+        const int wanted = dueCount + (useDoubted ? missing : 0);
+        const double perPeriod = typicalLatency > 0 ? inFlight / typicalLatency * toSeconds(reportPeriod) : 1;
+        if (uniform(random) >= std::min(maximumCoverage, wanted / std::max(1.0, perPeriod))) {
+            return nullptr;
+        }
+        return useDoubted && uniform(random) * wanted >= dueCount ? doubted : due;
+    }
+};
 
 } // namespace
 
@@ -107,7 +161,7 @@
     UpstreamChoice choice;
     double best = std::numeric_limits<double>::max();
     const double typical = board.typicalLatency(request.service);
-    UpstreamRecord *due = nullptr;
+    Coverage coverage;
     for (UpstreamRecord *record : board.ofService(request.service)) {
         if (!isUsable(now, *record, request)) {
             continue;
@@ -117,9 +171,7 @@
         if (!hasRoom(now, *record)) {
             continue;
         }
-        if ((due == nullptr || record->lastUsed < due->lastUsed) && isDue(now, *record, request, random)) {
-            due = record;
-        }
+        coverage.consider(now, *record, request, random);
         // A little randomness keeps instances that know the same from choosing the same upstream at the same moment.
         const double cost = costOf(now, *record, request, typical) + 0.1 * uniform(random);
         if (cost < best) {
@@ -129,10 +181,10 @@
             choice.cost = cost;
         }
     }
-    if (due != nullptr) {
-        choice.upstream = due;
+    if (UpstreamRecord *covered = coverage.pick(request, choice.ready, typical, random)) {
+        choice.upstream = covered;
         choice.reason = ChoiceReason::Coverage;
-        choice.cost = costOf(now, *due, request, typical);
+        choice.cost = costOf(now, *covered, request, typical);
     }
     if (choice.upstream != nullptr) {
         choice.belief = choice.upstream->belief.probability(now);
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -23,6 +23,7 @@
     routing::Repeatability repeatability = routing::Repeatability::Once;
     DataCentreId dataCentre; ///< of this instance
     std::vector<UpstreamId> excluded; ///< upstreams of earlier attempts
+    double floorShare = 0; ///< share of the ready upstreams that get requests at all times, however doubted
 };
 
 /** Why an upstream was chosen or none was. */
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -121,7 +121,7 @@
 
 void Exchange::tryAttempt(TimePoint now)
 {
-    const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried};
+    const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, m_context.floorShare};
     const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
     if (choice.upstream == nullptr) {
         waitForRoom(now, choice);
@@ -373,7 +373,7 @@
     }
     limits::RetryBudget &budget = m_context.budgetOf(m_service);
     if (hedgeDue(now) && budget.balance() >= 1) {
-        const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried};
+        const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, m_context.floorShare};
         const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
         constexpr double soundBelief = 0.4;
         if (choice.upstream != nullptr && choice.belief < soundBelief) {
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -21,6 +21,8 @@
 constexpr Duration broadcastPeriod = std::chrono::milliseconds{1000};
 /** Changed upstreams in one datagram; about 120 bytes each. */
 constexpr std::size_t maximumDelta = 40;
+/** Above the operators' floor, since two instances' knowledge of what was used differs by a report. */
+constexpr double floorMargin = 0.03;
 constexpr Duration noticePeriod = std::chrono::milliseconds{250};
 constexpr Duration prunePeriod = std::chrono::milliseconds{500};
 /** An instance shares the load for this long after its last report. */
@@ -64,6 +66,7 @@
     })
 {
     m_context.retryLimits = m_settings.retryLimits;
+    m_context.floorShare = m_settings.floorShare + floorMargin;
     m_context.broadcast = [this](const fleet::FleetMessage &message) {
         broadcast(message);
     };
@@ -117,6 +120,7 @@
     telemetry::writeLog(LogLevel::Info, "reload", settings == m_settings ? "unchanged" : "changed");
     m_settings.retryLimits = settings.retryLimits;
     m_settings.stopTime = settings.stopTime;
+    m_context.floorShare = settings.floorShare + floorMargin;
     m_settings.directoryHold = settings.directoryHold;
     m_settings.seeds = settings.seeds;
     m_settings.store = settings.store;
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -46,6 +46,7 @@
     RandomSource random;
     ProxyMetrics metrics{};
     int sharers = initialSharers; ///< instances that share the slack of the retry budget
+    double floorShare = 0; ///< share of the ready upstreams that get requests at all times
     bool stopping = false; ///< new requests are refused
     std::function<void(const fleet::FleetMessage &)> broadcast{}; ///< to all live instances
 
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -48,7 +48,7 @@
 
 ChoiceRequest ask(routing::Repeatability repeatability)
 {
-    return {service, repeatability, DataCentreId{"dc"}, {}};
+    return {service, repeatability, DataCentreId{"dc"}, {}, 0};
 }
 
 } // namespace
@@ -112,7 +112,7 @@
     std::map<std::string, TimePoint> last;
     Duration longest{};
     for (int count = 0; count < requestsPerSecond * 20; ++count) {
-        const TimePoint now = start + seconds{1} * count / requestsPerSecond;
+        const TimePoint now = start + Duration{seconds{1}} * count / requestsPerSecond;
         const UpstreamChoice choice = chooseUpstream(now, board, ask(routing::Repeatability::Once), random);
         REQUIRE(choice.upstream != nullptr);
         const UpstreamId id = choice.upstream->entry.id;
@@ -127,6 +127,39 @@
     CHECK_MESSAGE(longest <= seconds{2}, "an upstream had no request for " << toMilliseconds(longest) << " ms");
 }
 
+// Guards against a broken floor: gray episodes are the upstreams' ordinary state, and those in one count as sound.
+TEST_CASE("the floor's share of the ready upstreams gets requests in every two seconds, also when many of them fail")
+{
+    constexpr int upstreams = 20;
+    constexpr int failing = 8;
+    constexpr int requestsPerSecond = 80;
+    constexpr int total = requestsPerSecond * 20;
+    UpstreamBoard board;
+    board.setEntries(start, makeEntries(upstreams));
+    RandomSource random(11);
+    ChoiceRequest request = ask(routing::Repeatability::Once);
+    request.floorShare = 0.7;
+    std::vector<std::string> used;
+    int failed = 0;
+    for (int count = 0; count < total; ++count) {
+        const TimePoint now = start + Duration{seconds{1}} * count / requestsPerSecond;
+        const UpstreamChoice choice = chooseUpstream(now, board, request, random);
+        REQUIRE(choice.upstream != nullptr);
+        const UpstreamId id = choice.upstream->entry.id;
+        const bool fails = id.value < "u" + std::to_string(100 + failing);
+        board.begin(now, *choice.upstream);
+        board.end(now, id, 1, fails ? AttemptOutcome::Failed : AttemptOutcome::Answered, milliseconds{100});
+        failed += fails ? 1 : 0;
+        used.push_back(id.value);
+    }
+    for (std::size_t first = requestsPerSecond * 4; first + requestsPerSecond * 2 <= used.size(); first += 20) {
+        const auto from = used.begin() + static_cast<std::ptrdiff_t>(first);
+        const std::set<std::string> window(from, from + requestsPerSecond * 2);
+        CHECK_MESSAGE(window.size() >= 14, "only " << window.size() << " of 20 upstreams got requests");
+    }
+    CHECK_MESSAGE(failed < total / 20, "one request in twenty or more went to failing upstreams: " << failed);
+}
+
 TEST_CASE("a draining, unreachable, misdirected or tried upstream is not chosen, and a full one only waits")
 {
     UpstreamBoard board;
