Read the list of instances once at the start, and report datagrams that were not taken

Instances that register later greet the earlier ones, so that the second reading only cost a store call for each instance. A failed sendto left no trace; it is counted and logged now.

--- a/src/fleet/readerduty.h
+++ b/src/fleet/readerduty.h
@@ -15,7 +15,7 @@
 /** Time between two readings by an instance that reads. A change reaches everyone in this time and a notice's. */
 constexpr Duration readPeriod = std::chrono::milliseconds{400};
 /** Knowledge older than this makes any instance read for itself; two readings and their notices may be missed. */
-constexpr Duration maximumAge = std::chrono::milliseconds{1100};
+constexpr Duration maximumAge = std::chrono::milliseconds{1300};
 
 /** Decides for one instance. */
 class ReaderDuty
--- a/src/proxy/datagramsocket.cpp
+++ b/src/proxy/datagramsocket.cpp
@@ -60,11 +60,17 @@
     return settings::Endpoint{endpoint.host, net::boundPort(m_socket)};
 }
 
-void DatagramSocket::send(const settings::Endpoint &to, std::string_view bytes) const
+void DatagramSocket::send(const settings::Endpoint &to, std::string_view bytes)
 {
     sockaddr_storage address{};
     const socklen_t length = net::toSocketAddress(to, address);
-    static_cast<void>(sendto(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&address), length));
+    const ssize_t sent = sendto(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&address), length);
+    m_unsent += sent < 0 ? 1 : 0;
+}
+
+std::uint64_t DatagramSocket::unsent() const
+{
+    return m_unsent;
 }
 
 void DatagramSocket::onReadable(int /*socket*/, short /*what*/, void *self)
--- a/src/proxy/datagramsocket.h
+++ b/src/proxy/datagramsocket.h
@@ -5,6 +5,7 @@
 #include "net/eventloop.h"
 #include "settings/settings.h"
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -26,7 +27,10 @@
     /** Binds; the result is the bound endpoint with its real port. */
     Result<settings::Endpoint> bind(const settings::Endpoint &endpoint);
 
-    void send(const settings::Endpoint &to, std::string_view bytes) const;
+    void send(const settings::Endpoint &to, std::string_view bytes);
+
+    /** Datagrams that the system did not take, so far. */
+    std::uint64_t unsent() const;
 
 private:
     static void onReadable(int socket, short what, void *self);
@@ -36,6 +40,7 @@
     Receiver m_receiver;
     event *m_event = nullptr;
     int m_socket = -1;
+    std::uint64_t m_unsent = 0;
 };
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -28,9 +28,9 @@
 /** An instance shares the load for this long after its last report. */
 constexpr Duration sharingLifetime = std::chrono::milliseconds{2500};
 constexpr Duration registrationRetry = std::chrono::seconds{2};
-/** The list of instances is read at the start, and again when those that started at the same time are on it. */
-constexpr Duration secondListing = std::chrono::seconds{3};
-constexpr Duration laterListings = std::chrono::seconds{60};
+/** The list of instances is read at the start: those that register later greet this one. Later readings find instances
+ * that no greeting has reached. */
+constexpr Duration listingPeriod = std::chrono::seconds{60};
 /** Instances of each data centre on which the callers of one host are placed. */
 constexpr std::size_t instancesPerDataCentre = 4;
 /** Time in which callers learn that this instance leaves; it serves until then. */
@@ -194,6 +194,7 @@
     listPeers();
     if (now >= m_nextPrune) {
         m_nextPrune = now + prunePeriod;
+        reportUnsent();
         m_context.pool.prune(now, m_feed->catalogue().entries());
         m_context.crashes.expire(now);
         std::erase_if(m_sharing, [now](const auto &entry) {
@@ -318,6 +319,18 @@
     }
 }
 
+void Gateway::reportUnsent()
+{
+    const std::uint64_t unsent = m_datagrams.unsent();
+    if (unsent > m_reportedUnsent) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "send datagrams",
+                            "the system did not take some; they are lost",
+                            {{"datagrams", std::to_string(unsent - m_reportedUnsent)}});
+    }
+    m_reportedUnsent = unsent;
+}
+
 void Gateway::registerSelf()
 {
     const TimePoint now = net::now();
@@ -340,8 +353,7 @@
     if (!m_registered || now < m_nextListing) {
         return;
     }
-    m_nextListing = now + (m_listings == 0 ? secondListing : laterListings);
-    ++m_listings;
+    m_nextListing = now + listingPeriod;
     m_access.listInstances([this](const Result<membership::InstanceList> &list) {
         if (!list.has_value()) {
             telemetry::writeLog(LogLevel::Warning, "list instances", list.error().message());
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -69,6 +69,7 @@
     void sendMembership(const membership::MembershipMessages &messages);
     void receive(std::string_view bytes);
     void take(const fleet::FleetDatagram &datagram);
+    void reportUnsent();
     void registerSelf();
     void listPeers();
     void answerPeer(evhttp_request *request);
@@ -97,7 +98,7 @@
     TimePoint m_nextListing{};
     TimePoint m_stopBegan{};
     bool m_registered = false;
-    int m_listings = 0;
+    std::uint64_t m_reportedUnsent = 0;
     std::function<void()> m_onStopped;
 };
 
