--- a/src/proxy/storefeed.cpp
+++ b/src/proxy/storefeed.cpp
@@ -40,8 +40,7 @@
 
 void StoreFeed::tick(TimePoint now, const membership::MembershipView &view)
 {
-    const bool wanted = m_duty.shouldRead(now, view) || !m_table;
-    if (wanted && now >= m_retryAt && !m_upstreamsPending) {
+    if (m_duty.shouldRead(now, view) && now >= m_retryAt && !m_upstreamsPending) {
         read(now);
     }
 }
--- a/test/correctness/proxy_test.cpp
+++ b/test/correctness/proxy_test.cpp
@@ -276,6 +276,18 @@
     CHECK_MESSAGE(world.instance->waitForVersion(6), "the instance did not return to the store after the outage");
 }
 
+// Guards against a fleet that spends its store calls before traffic starts: it read at each tick until a configuration came.
+TEST_CASE("an instance without a configuration reads the store no more often than one with it")
+{
+    PlatformStore store;
+    const ProxyInstance instance(store);
+    constexpr Duration watched = std::chrono::milliseconds{1200};
+    std::this_thread::sleep_for(watched);
+    // Registration, list, and the two newest readings; then one reading in each period.
+    const int allowed = 4 + static_cast<int>(watched / fleet::readPeriod) + 1;
+    CHECK_MESSAGE(store.calls() <= allowed, "the instance made " << store.calls() << " calls");
+}
+
 TEST_CASE("records that the store has dropped are read anew from the newest of each key")
 {
     ScriptedUpstream upstream(healthy);
