--- a/src/fleet/upstreamboard.cpp
+++ b/src/fleet/upstreamboard.cpp
@@ -33,12 +33,15 @@
     for (const UpstreamEntry &entry : entries) {
         const auto known = m_records.find(entry.id);
         UpstreamRecord record;
+        bool newReport = true;
         if (known != m_records.end() && known->second.entry.born == entry.born) {
             record = std::move(known->second);
+            newReport = record.entry.sequence != entry.sequence;
         } else {
             record.key = upstreamKey(entry.id, entry.born);
         }
-        if (entry.warmupLeft > Duration::zero()) {
+        // The time that is left counts from the report: an old one must not make the upstream cold anew.
+        if (newReport) {
             record.warmAt = now + entry.warmupLeft;
         }
         record.entry = entry;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -127,6 +127,26 @@
     CHECK_MESSAGE(longest <= seconds{2}, "an upstream had no request for " << toMilliseconds(longest) << " ms");
 }
 
+// Guards against new upstreams that stay without work: each change of another upstream began their cold start anew.
+TEST_CASE("a new upstream is used when its cold start is over, whatever changes meanwhile")
+{
+    UpstreamBoard board;
+    std::vector<UpstreamEntry> entries = makeEntries(3);
+    entries[0].warmupLeft = seconds{3};
+    RandomSource random(3);
+    std::set<std::string> used;
+    for (int tenth = 0; tenth < 60; ++tenth) {
+        const TimePoint now = start + Duration{milliseconds{100}} * tenth;
+        board.setEntries(now, entries);
+        const UpstreamChoice choice = chooseUpstream(now, board, ask(routing::Repeatability::Once), random);
+        REQUIRE(choice.upstream != nullptr);
+        board.begin(now, *choice.upstream);
+        board.end(now, choice.upstream->entry.id, 1, AttemptOutcome::Answered, milliseconds{50});
+        used.insert(choice.upstream->entry.id.value);
+    }
+    CHECK_MESSAGE(used.contains("u100"), "the new upstream got no request in three seconds after its cold start");
+}
+
 // Guards against a broken floor: gray episodes are the upstreams' ordinary state, and those in one count as sound.
 TEST_CASE("the floor's share of the ready upstreams gets requests in every two seconds, also when many of them fail")
 {
