--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # Entry points for people and CI. The build itself is described in CMakeLists.txt.
+SHELL := /bin/bash
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build check format lint demo measure bench-capacity bench-latency sanitize
+.PHONY: deps build check format lint soak demo measure bench-capacity bench-latency sanitize
 
 deps:
 	./tools/install-deps.sh
@@ -20,6 +21,11 @@
 lint: build
 	./tools/check-lint.sh $(BUILD)
 
+# One seed, or SOAK='--seed=7 --minutes=1 --processes=12'.
+SOAK ?= --seed=1 --minutes=0.15 --processes=4
+soak: build
+	./$(BUILD)/jackdawdoor-soak $(SOAK) --binary=$(BUILD)/jackdawdoor 2>&1 | grep -v ' info '; exit $${PIPESTATUS[0]}
+
 demo: build
 	./tools/demo.sh $(BUILD)
 
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -115,7 +115,7 @@
     const auto endpoint = [&own](int port) {
         return "\"" + own.host + ":" + std::to_string(port) + "\"\n";
     };
-    const std::string path = m_folder + "/" + std::to_string(index) + ".toml";
+    std::string path = m_folder + "/" + std::to_string(index) + ".toml";
     std::ofstream file(path);
     file << "node-name = \"i" << index << "\"\nzone = \"dc\"\nip = \"" << own.host << "\"\ninternal-ports = [" << m_basePort + 3 << ","
          << m_basePort + 4 << "]\nbounds = [\"grace-s=6\"]\n[listen]\nfront = " << endpoint(m_basePort)
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr int badGateway = 502;
-constexpr int unavailable = 503;
-constexpr int gatewayTimeout = 504;
 constexpr int notFound = 404;
 /** For a caller that states no deadline. */
 constexpr Duration defaultDeadline = std::chrono::seconds{10};
@@ -30,11 +28,6 @@
 /** A run counts as overdue after so many typical times, and not before the shortest. */
 constexpr double overdueFactor = 4;
 constexpr Duration shortestOverdue = std::chrono::milliseconds{1200};
-/** When a refused caller should come back, in seconds: a slot is free by then, and it leaves time for another attempt. */
-constexpr double shortestReturn = 0.25;
-constexpr double returnSpread = 0.5;
-/** Answer bytes that may wait for a slow caller before reading from the upstream pauses. */
-constexpr std::size_t maximumUnsent = std::size_t{512} * 1024;
 
 Duration statedDeadline(const MessageHead &head, const HeaderNames &names)
 {
@@ -42,13 +35,6 @@
     return stated ? Duration{std::chrono::milliseconds{*stated}} : defaultDeadline;
 }
 
-std::string secondsText(double seconds)
-{
-    char text[32];
-    const int length = std::snprintf(text, sizeof(text), "%.2f", seconds);
-    return {text, static_cast<std::size_t>(length)};
-}
-
 } // namespace
 
 Exchange::Exchange(RequestContext &context, CallerConnection &caller, CallerRequest &&request)
@@ -243,104 +229,6 @@
     }
 }
 
-bool Exchange::takeOver(Attempt &attempt)
-{
-    if (m_streaming != nullptr || attempt.result().meaning.end != routing::AttemptEnd::Answered) {
-        return false;
-    }
-    m_streaming = &attempt;
-    const MessageHead &head = attempt.result().head;
-    m_caller.start(head.status, answerHeaders(head, m_context.names), head.contentLength);
-    m_caller.sendBody(attempt.result().body);
-    return true;
-}
-
-void Exchange::passPiece(Attempt &attempt, std::string_view bytes)
-{
-    m_caller.sendBody(bytes);
-    if (m_caller.unsent() > maximumUnsent) {
-        attempt.pauseReading(true);
-    }
-}
-
-void Exchange::deliver(const Attempt &attempt)
-{
-    const AttemptResult &result = attempt.result();
-    m_caller.reply(result.head.status, answerHeaders(result.head, m_context.names), result.body);
-    finish(net::now(), result.head.status, result.meaning.reason);
-}
-
-net::Headers Exchange::ownHeaders() const
-{
-    net::Headers headers;
-    if (!m_requestId.empty()) {
-        headers.push_back({m_context.names.requestId, m_requestId});
-    }
-    return headers;
-}
-
-void Exchange::refuse(TimePoint now, const char *reason)
-{
-    net::Headers headers = ownHeaders();
-    headers.push_back({"Retry-After", secondsText(shortestReturn + returnSpread * uniform(m_context.random))});
-    m_caller.reply(unavailable, headers, "not run\n");
-    finish(now, unavailable, reason);
-}
-
-void Exchange::fail(TimePoint now, int status, const char *reason)
-{
-    m_caller.reply(status, ownHeaders(), std::string(reason) + "\n");
-    finish(now, status, reason);
-}
-
-void Exchange::onTimeout()
-{
-    const TimePoint now = net::now();
-    bool running = m_mayHaveRun;
-    for (const auto &attempt : m_attempts) {
-        running = running || attempt->mayHaveRun();
-        settle(now, *attempt, fleet::AttemptOutcome::TimedOut);
-    }
-    // Not called from a hook of an attempt, so they may go at once; their upstreams drop the work.
-    m_attempts.clear();
-    if (m_streaming != nullptr) {
-        m_caller.abort();
-        finish(now, 0, "timeout-in-stream");
-        return;
-    }
-    if (running) {
-        fail(now, gatewayTimeout, "timeout");
-    } else {
-        refuse(now, "timeout-not-run");
-    }
-}
-
-void Exchange::finish(TimePoint now, int status, const char *reason)
-{
-    if (m_done) {
-        return;
-    }
-    m_done = true;
-    m_timer.cancel();
-    m_waitTimer.cancel();
-    releaseAttempts(now);
-    m_context.metrics.countRequest(reason, now - m_request.received);
-    logRequest(m_requestId, m_route, status, reason, m_sends, now - m_request.received);
-}
-
-void Exchange::releaseAttempts(TimePoint now)
-{
-    for (const auto &attempt : m_attempts) {
-        m_context.board.end(now, attempt->upstream().id, attempt->upstream().born, fleet::AttemptOutcome::Abandoned, {});
-    }
-    m_attempts.clear();
-}
-
-void Exchange::callerGone()
-{
-    finish(net::now(), 0, "caller-gone");
-}
-
 bool Exchange::hedgeDue(TimePoint now) const
 {
     if (!repeatable() || m_attempts.size() != 1 || m_streaming != nullptr || m_sends >= std::max(1, route().maxAttempts)) {
@@ -393,9 +281,4 @@
     return !m_done && !m_attempts.empty();
 }
 
-void Exchange::endForStop()
-{
-    onTimeout();
-}
-
 } // namespace jackdawdoor::proxy
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -12,6 +12,9 @@
 
 namespace jackdawdoor::proxy {
 
+/** Answer bytes that may wait for a slow caller before reading from the upstream pauses. */
+constexpr std::size_t maximumUnsent = std::size_t{512} * 1024;
+
 /** Runs the attempts of a request. Owned by the proxy task; one per connection at a time. */
 class Exchange
 {
--- /dev/null
+++ b/src/proxy/exchangeanswers.cpp
@@ -0,0 +1,129 @@
+// Final answers of a request, and the end of its attempts.
+#include "proxy/exchange.h"
+#include "proxy/proxylog.h"
+
+#include <cstdio>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+/** When a refused caller should come back, in seconds: a slot is free by then, and it leaves time for another attempt. */
+constexpr double shortestReturn = 0.25;
+constexpr double returnSpread = 0.5;
+
+std::string secondsText(double seconds)
+{
+    char text[32];
+    const int length = std::snprintf(text, sizeof(text), "%.2f", seconds);
+    return {text, static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+bool Exchange::takeOver(Attempt &attempt)
+{
+    if (m_streaming != nullptr || attempt.result().meaning.end != routing::AttemptEnd::Answered) {
+        return false;
+    }
+    m_streaming = &attempt;
+    const MessageHead &head = attempt.result().head;
+    m_caller.start(head.status, answerHeaders(head, m_context.names), head.contentLength);
+    m_caller.sendBody(attempt.result().body);
+    return true;
+}
+
+void Exchange::passPiece(Attempt &attempt, std::string_view bytes)
+{
+    m_caller.sendBody(bytes);
+    if (m_caller.unsent() > maximumUnsent) {
+        attempt.pauseReading(true);
+    }
+}
+
+void Exchange::deliver(const Attempt &attempt)
+{
+    const AttemptResult &result = attempt.result();
+    m_caller.reply(result.head.status, answerHeaders(result.head, m_context.names), result.body);
+    finish(net::now(), result.head.status, result.meaning.reason);
+}
+
+net::Headers Exchange::ownHeaders() const
+{
+    net::Headers headers;
+    if (!m_requestId.empty()) {
+        headers.push_back({m_context.names.requestId, m_requestId});
+    }
+    return headers;
+}
+
+void Exchange::refuse(TimePoint now, const char *reason)
+{
+    net::Headers headers = ownHeaders();
+    headers.push_back({"Retry-After", secondsText(shortestReturn + returnSpread * uniform(m_context.random))});
+    m_caller.reply(unavailable, headers, "not run\n");
+    finish(now, unavailable, reason);
+}
+
+void Exchange::fail(TimePoint now, int status, const char *reason)
+{
+    m_caller.reply(status, ownHeaders(), std::string(reason) + "\n");
+    finish(now, status, reason);
+}
+
+void Exchange::onTimeout()
+{
+    const TimePoint now = net::now();
+    bool running = m_mayHaveRun;
+    for (const auto &attempt : m_attempts) {
+        running = running || attempt->mayHaveRun();
+        settle(now, *attempt, fleet::AttemptOutcome::TimedOut);
+    }
+    // Not called from a hook of an attempt, so they may go at once; their upstreams drop the work.
+    m_attempts.clear();
+    if (m_streaming != nullptr) {
+        m_caller.abort();
+        finish(now, 0, "timeout-in-stream");
+        return;
+    }
+    if (running) {
+        fail(now, gatewayTimeout, "timeout");
+    } else {
+        refuse(now, "timeout-not-run");
+    }
+}
+
+void Exchange::finish(TimePoint now, int status, const char *reason)
+{
+    if (m_done) {
+        return;
+    }
+    m_done = true;
+    m_timer.cancel();
+    m_waitTimer.cancel();
+    releaseAttempts(now);
+    m_context.metrics.countRequest(reason, now - m_request.received);
+    logRequest(m_requestId, m_route, status, reason, m_sends, now - m_request.received);
+}
+
+void Exchange::releaseAttempts(TimePoint now)
+{
+    for (const auto &attempt : m_attempts) {
+        m_context.board.end(now, attempt->upstream().id, attempt->upstream().born, fleet::AttemptOutcome::Abandoned, {});
+    }
+    m_attempts.clear();
+}
+
+void Exchange::callerGone()
+{
+    finish(net::now(), 0, "caller-gone");
+}
+
+void Exchange::endForStop()
+{
+    onTimeout();
+}
+
+} // namespace jackdawdoor::proxy
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -15,15 +15,8 @@
 namespace {
 
 constexpr Duration tickPeriod = std::chrono::milliseconds{100};
-/** Load reports among the instances that serve requests. */
-constexpr Duration reportPeriod = std::chrono::milliseconds{250};
-/** Load reports to all instances, so that a new one is known to the others and knows them. */
-constexpr Duration broadcastPeriod = std::chrono::milliseconds{1000};
-/** Changed upstreams in one datagram; about 120 bytes each. */
-constexpr std::size_t maximumDelta = 40;
 /** Above the operators' floor, since two instances' knowledge of what was used differs by a report. */
 constexpr double floorMargin = 0.03;
-constexpr Duration noticePeriod = std::chrono::milliseconds{250};
 constexpr Duration prunePeriod = std::chrono::milliseconds{500};
 /** An instance shares the load for this long after its last report. */
 constexpr Duration sharingLifetime = std::chrono::milliseconds{2500};
@@ -210,126 +203,6 @@
     m_timer.set(tickPeriod);
 }
 
-void Gateway::sendReports(TimePoint now)
-{
-    if (now >= m_nextReport) {
-        m_nextReport = now + reportPeriod;
-        const bool toAll = now >= m_nextBroadcast;
-        const fleet::LoadReport report = m_context.board.takeOwnReport();
-        const bool sharing = !report.items.empty() || m_proxy.connections() > 0;
-        if (toAll) {
-            m_nextBroadcast = now + broadcastPeriod;
-        }
-        if (sharing && toAll) {
-            broadcast(report);
-        } else if (sharing) {
-            for (const auto &[instance, at] : m_sharing) {
-                send({instance, 0}, report);
-            }
-        }
-    }
-    if (now >= m_nextNotice && m_feed->readsStore(now)) {
-        m_nextNotice = now + noticePeriod;
-        sendInDataCentre(m_feed->notice(now));
-    }
-}
-
-void Gateway::send(const InstanceRef &to, const fleet::FleetMessage &message)
-{
-    sendToAddress(m_membership.addressOf(to), message);
-}
-
-void Gateway::sendToAddress(const std::string &address, const fleet::FleetMessage &message)
-{
-    const auto endpoint = settings::parseEndpoint(address);
-    if (endpoint.has_value()) {
-        m_datagrams.send(endpoint.value(), fleet::encodeDatagram({m_self, message}));
-    }
-}
-
-void Gateway::broadcast(const fleet::FleetMessage &message)
-{
-    const std::string bytes = fleet::encodeDatagram({m_self, message});
-    for (const membership::Member *member : m_membership.view()->live()) {
-        const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->ref.id != m_self.id && endpoint.has_value()) {
-            m_datagrams.send(endpoint.value(), bytes);
-        }
-    }
-}
-
-void Gateway::sendInDataCentre(const fleet::FleetMessage &message)
-{
-    const std::string bytes = fleet::encodeDatagram({m_self, message});
-    for (const membership::Member *member : m_membership.view()->live()) {
-        const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->dataCentre == m_settings.dataCentre && member->ref.id != m_self.id && endpoint.has_value()) {
-            m_datagrams.send(endpoint.value(), bytes);
-        }
-    }
-}
-
-void Gateway::shareDelta(const fleet::UpstreamDelta &delta)
-{
-    // Larger changes are fetched: a datagram is to stay small.
-    if (delta.entries.size() + delta.departed.size() <= maximumDelta) {
-        sendInDataCentre(delta);
-    }
-}
-
-void Gateway::sendMembership(const membership::MembershipMessages &messages)
-{
-    for (const auto &outgoing : messages) {
-        send(outgoing.to, outgoing.message);
-    }
-}
-
-void Gateway::receive(std::string_view bytes)
-{
-    const auto datagram = fleet::decodeDatagram(bytes);
-    if (!datagram) {
-        telemetry::writeLog(LogLevel::Warning, "receive datagram", "malformed");
-        return;
-    }
-    if (datagram->from.id != m_self.id) {
-        take(*datagram);
-    }
-}
-
-void Gateway::take(const fleet::FleetDatagram &datagram)
-{
-    const TimePoint now = net::now();
-    if (const auto *report = std::get_if<fleet::LoadReport>(&datagram.message)) {
-        m_sharing[datagram.from.id] = now;
-        m_context.board.takeReport(now, datagram.from.id, *report);
-    } else if (const auto *failure = std::get_if<fleet::FailureNotice>(&datagram.message)) {
-        m_context.board.takeFailure(now, *failure);
-    } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
-        m_context.crashes.noteCrash(now, crash->request, crash->key);
-    } else if (const auto *notice = std::get_if<fleet::StoreNotice>(&datagram.message)) {
-        const auto address = settings::parseEndpoint(m_membership.addressOf(datagram.from));
-        if (address.has_value()) {
-            m_feed->takeNotice(now, *notice, address.value());
-        }
-    } else if (const auto *delta = std::get_if<fleet::UpstreamDelta>(&datagram.message)) {
-        m_feed->takeDelta(*delta);
-    } else if (const auto *membership = std::get_if<membership::MembershipMessage>(&datagram.message)) {
-        sendMembership(m_membership.onPeerMessage(now, datagram.from, *membership));
-    }
-}
-
-void Gateway::reportUnsent()
-{
-    const std::uint64_t unsent = m_datagrams.unsent();
-    if (unsent > m_reportedUnsent) {
-        telemetry::writeLog(LogLevel::Warning,
-                            "send datagrams",
-                            "the system did not take some; they are lost",
-                            {{"datagrams", std::to_string(unsent - m_reportedUnsent)}});
-    }
-    m_reportedUnsent = unsent;
-}
-
 void Gateway::registerSelf()
 {
     const TimePoint now = net::now();
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -172,9 +172,11 @@
         failed += fails ? 1 : 0;
         used.push_back(id.value);
     }
-    for (std::size_t first = requestsPerSecond * 4; first + requestsPerSecond * 2 <= used.size(); first += 20) {
-        const auto from = used.begin() + static_cast<std::ptrdiff_t>(first);
-        const std::set<std::string> window(from, from + requestsPerSecond * 2);
+    constexpr std::ptrdiff_t settled = std::ptrdiff_t{requestsPerSecond} * 4;
+    constexpr std::ptrdiff_t windowSize = std::ptrdiff_t{requestsPerSecond} * 2;
+    constexpr std::ptrdiff_t step = 20;
+    for (std::ptrdiff_t first = settled; first + windowSize <= total; first += step) {
+        const std::set<std::string> window(used.begin() + first, used.begin() + first + windowSize);
         CHECK_MESSAGE(window.size() >= 14, "only " << window.size() << " of 20 upstreams got requests");
     }
     CHECK_MESSAGE(failed < total / 20, "one request in twenty or more went to failing upstreams: " << failed);
