Tell all instances when another upstream has an address

Each instance learnt that for itself, forgot it after 2 s, and spent coverage on them (up to 15 answers 421 for one upstream in two seconds), while four sound ones had no request. A 421 is proof for the whole fleet; it is sent to all and holds until the entry goes or its address changes. Ruled out: beliefs (those of the idle ones were below 0.03).

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -24,6 +24,11 @@
     return json::array({notice.key});
 }
 
+json encodePayload(const MisdirectedNotice &notice)
+{
+    return json::array({notice.key});
+}
+
 json encodePayload(const CrashNotice &notice)
 {
     return json::array({notice.request, notice.key});
@@ -100,6 +105,8 @@
         return StoreNotice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), Duration{in.at(2).get<Duration::rep>()}};
     case 4:
         return decodeDelta(in);
+    case 5:
+        return MisdirectedNotice{in.at(0).get<std::uint32_t>()};
     default:
         return decodeMembership(in);
     }
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -42,6 +42,13 @@
     bool operator==(const FailureNotice &) const = default;
 };
 
+/** Another upstream has the address: the one named is gone from it. */
+struct MisdirectedNotice {
+    std::uint32_t key = 0; ///< of the upstream's incarnation
+
+    bool operator==(const MisdirectedNotice &) const = default;
+};
+
 /** A request may have crashed an upstream. */
 struct CrashNotice {
     std::uint64_t request = 0; ///< fingerprint of method, target and body
@@ -71,7 +78,8 @@
 void to_json(nlohmann::json &json, const UpstreamEntry &entry);
 void from_json(const nlohmann::json &json, UpstreamEntry &entry);
 
-using FleetMessage = std::variant<LoadReport, FailureNotice, CrashNotice, StoreNotice, UpstreamDelta, membership::MembershipMessage>;
+using FleetMessage =
+    std::variant<LoadReport, FailureNotice, CrashNotice, StoreNotice, UpstreamDelta, MisdirectedNotice, membership::MembershipMessage>;
 
 /** A message with its sender. */
 struct FleetDatagram {
--- a/src/fleet/upstreamboard.cpp
+++ b/src/fleet/upstreamboard.cpp
@@ -15,8 +15,8 @@
 /** First time for which an unreachable upstream is passed over; doubles with each further failure. */
 constexpr Duration unreachableHold = std::chrono::milliseconds{400};
 constexpr int maximumDoublings = 3;
-/** Another upstream has the address: the entry will change soon. */
-constexpr Duration misdirectedHold = std::chrono::seconds{2};
+/** Another upstream has the address: the entry is removed after three missed reports, some 4.5 s after the last one. */
+constexpr Duration misdirectedHold = std::chrono::seconds{5};
 /** Weight of the latest answer in the moving mean of an upstream's latency. */
 constexpr double latencyWeight = 0.2;
 
@@ -40,6 +40,9 @@
         } else {
             record.key = upstreamKey(entry.id, entry.born);
         }
+        if (record.entry.address != entry.address) {
+            record.unusableUntil = {};
+        }
         // The time that is left counts from the report: an old one must not make the upstream cold anew.
         if (newReport) {
             record.warmAt = now + entry.warmupLeft;
@@ -139,6 +142,13 @@
     }
 }
 
+void UpstreamBoard::takeMisdirected(TimePoint now, const MisdirectedNotice &notice)
+{
+    if (UpstreamRecord *record = findKey(notice.key)) {
+        record->unusableUntil = now + misdirectedHold;
+    }
+}
+
 void UpstreamBoard::applyLoad(const PeerLoad &load, int sign)
 {
     for (const LoadItem &item : load.items) {
--- a/src/fleet/upstreamboard.h
+++ b/src/fleet/upstreamboard.h
@@ -75,6 +75,9 @@
     /** Another instance saw a failure. */
     void takeFailure(TimePoint now, const FailureNotice &notice);
 
+    /** Another instance was told that another upstream has the address. */
+    void takeMisdirected(TimePoint now, const MisdirectedNotice &notice);
+
     /** Another instance's load and successes. A later report replaces its load. */
     void takeReport(TimePoint now, const InstanceId &from, const LoadReport &report);
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -167,6 +167,9 @@
     if (outcome == fleet::AttemptOutcome::Failed || outcome == fleet::AttemptOutcome::TimedOut) {
         m_context.broadcast(fleet::FailureNotice{key});
     }
+    if (outcome == fleet::AttemptOutcome::Misdirected) {
+        m_context.broadcast(fleet::MisdirectedNotice{key});
+    }
     if (attempt.result().meaning.end == routing::AttemptEnd::Broken && outcome == fleet::AttemptOutcome::Failed) {
         m_context.crashes.noteBroken(now, m_fingerprint, key);
     }
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -112,6 +112,8 @@
         m_context.board.takeReport(now, datagram.from.id, *report);
     } else if (const auto *failure = std::get_if<fleet::FailureNotice>(&datagram.message)) {
         m_context.board.takeFailure(now, *failure);
+    } else if (const auto *misdirected = std::get_if<fleet::MisdirectedNotice>(&datagram.message)) {
+        m_context.board.takeMisdirected(now, *misdirected);
     } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
         m_context.crashes.noteCrash(now, crash->request, crash->key);
     } else if (const auto *notice = std::get_if<fleet::StoreNotice>(&datagram.message)) {
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -199,6 +199,26 @@
     CHECK(chooseUpstream(start, board, request, random).reason == ChoiceReason::NoUpstream);
 }
 
+// Guards against spending the fleet's coverage on upstreams that are gone: each instance asked them anew for itself, and
+// sound upstreams stayed without a request.
+TEST_CASE("an upstream that another instance found gone from its address is not chosen until its entry changes")
+{
+    UpstreamBoard board;
+    std::vector<UpstreamEntry> entries = makeEntries(2);
+    board.setEntries(start, entries);
+    RandomSource random(5);
+    board.takeMisdirected(start, {upstreamKey(UpstreamId{"u100"}, 1)});
+    for (int second = 0; second < 4; ++second) {
+        const UpstreamChoice choice = chooseUpstream(start + seconds{second}, board, ask(routing::Repeatability::Once), random);
+        REQUIRE(choice.upstream != nullptr);
+        CHECK_MESSAGE(choice.upstream->entry.id.value == "u101", "an upstream that is gone was chosen");
+    }
+    entries[0].address = "127.0.0.1:2";
+    entries[0].sequence = 2;
+    board.setEntries(start, entries);
+    CHECK_MESSAGE(board.find(UpstreamId{"u100"}, 1)->unusableUntil == TimePoint{}, "a new address is still passed over");
+}
+
 TEST_CASE("the load of other instances counts, is replaced by their next report and ends with their silence")
 {
     UpstreamBoard board;
@@ -336,6 +356,7 @@
     const std::vector<FleetMessage> messages{LoadReport{{{1, 2, 3}, {4, 5, 6}}},
                                              FailureNotice{9},
                                              CrashNotice{1234567890123ULL, 5},
+                                             MisdirectedNotice{6},
                                              StoreNotice{12, 34, milliseconds{56}},
                                              UpstreamDelta{{makeEntry("u", 3, 4)}, {{UpstreamId{"v"}, 5, 6}}},
                                              membership::MembershipMessage{membership::Ping{3, false, {}, {}}}};
