--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** An answer takes 4 ms; a slow store takes some hundred times as long on bad days. */
-constexpr Duration callTimeout = std::chrono::milliseconds{1500};
+constexpr Duration callTimeout = std::chrono::milliseconds{1000};
 constexpr int ok = 200;
 constexpr int gone = 410;
 constexpr std::size_t maximumIdle = 2;
--- a/src/proxy/storefeed.cpp
+++ b/src/proxy/storefeed.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
-/** A reader's request for changes of the configuration waits this long at the store; a change ends it at once. */
-constexpr Duration configurationWait = std::chrono::milliseconds{2500};
+/** A reader's request for changes of the configuration waits this long at the store; a change ends it at once. One that is
+ * swallowed just before the store is back ends, with the call's time limit, within the three seconds that the pages allow. */
+constexpr Duration configurationWait = std::chrono::milliseconds{800};
 /** Changes in quick succession are read together. */
 constexpr Duration configurationPause = std::chrono::milliseconds{200};
 /** First pause after a failed reading; doubles up to the longest. Refused calls are paid for too. */
