Mend nine faults of the proxy that tests of its edges show

- A hedge that ended while the first upstream's large answer was passed on delivered a second answer on the caller's connection.
The other attempt is now ended when an answer begins to be passed on.
A failure of one of two attempts also waits for the other one in place of being delivered at once.
- A header beyond the operator's limit was accepted when it arrived in one piece: only incomplete heads were measured.
- A request with an offer to change the protocol was answered 400; the offer is ignored.
- An order whose time was over was sent to an upstream with a deadline below zero; it is refused as not run.
- The seeds of the settings were read and never used, so that instances could not meet while the store was away.
An instance that knows no other greets them each second.
- An instance that restarted with its clock set back was never named by the others again, since its run counted as older than its last.
It takes an incarnation after the one that the others know, if that one had its own address or has failed.
- A planned stop reported the upstreams of unfinished requests as failed.
- An entry from another instance whose address cannot be used was taken; by reading, the next request to it would have ended the process.
Such entries are passed over with a log line.

Ruled out for the clock: a number from the store (an instance must start while the store is away), and a random one (a later run must win against a former one without being told).

--- a/src/cli/proxycommand.cpp
+++ b/src/cli/proxycommand.cpp
@@ -52,7 +52,8 @@
     event *m_event;
 };
 
-/** A later run of an instance has a larger number; the wall clock may have been set back in between by seconds. */
+/** A later run of an instance has a larger number, unless the wall clock was set back in between: then the other instances
+ * tell it of its former run and it takes a later one. */
 Incarnation newIncarnation()
 {
     return static_cast<Incarnation>(
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -76,6 +76,30 @@
     return m_superseded;
 }
 
+bool Membership::outrankFormerRun()
+{
+    if (m_formerRun == 0) {
+        return false;
+    }
+    MemberUpdate own = m_table.self();
+    own.ref.incarnation = std::exchange(m_formerRun, 0) + 1;
+    own.refutation = 0;
+    m_table.setSelf(own);
+    m_table.publishView();
+    m_superseded = false;
+    return true;
+}
+
+const InstanceRef &Membership::self() const
+{
+    return m_table.self().ref;
+}
+
+MembershipMessage Membership::greeting()
+{
+    return Ping{++m_sequence, false, {}, {m_table.self()}};
+}
+
 std::string Membership::addressOf(const InstanceRef &receiver) const
 {
     const MemberRecord *record = m_table.find(receiver.id);
@@ -156,6 +180,10 @@
     const MemberUpdate &own = m_table.self();
     if (update.ref.incarnation > own.ref.incarnation) {
         m_superseded = true;
+        // Rumours of failed runs name no address.
+        if (update.address.empty() || update.address == own.address) {
+            m_formerRun = std::max(m_formerRun, update.ref.incarnation);
+        }
     }
     if (update.ref != own.ref) {
         return;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -86,9 +86,20 @@
     /** Number of pauses noticed; a change tells that leases must be dropped. */
     std::uint64_t pauses() const;
 
-    /** True when a later incarnation of this id is known: this process must stop serving. */
+    /** True when a later incarnation of this id is known: this process must stop serving, unless that was its own former
+     * run (see outrankFormerRun). */
     bool superseded() const;
 
+    /** Takes an incarnation after the known one when that was a former run of this instance at the same address: the clock
+     * from which this run took its incarnation had been set back. False when nothing had to be done. */
+    bool outrankFormerRun();
+
+    /** This run of the instance. */
+    const InstanceRef &self() const;
+
+    /** A ping for an address at which some instance may listen. */
+    MembershipMessage greeting();
+
     /** Address to which a message to this receiver goes; empty when unknown. */
     std::string addressOf(const InstanceRef &receiver) const;
 
@@ -155,6 +166,7 @@
     bool m_paused = false;
     std::uint64_t m_firstSequenceAfterPause = 0;
     bool m_superseded = false;
+    Incarnation m_formerRun = 0; ///< later than this run's, at this run's address; zero: none is known
 
     bool m_synchronising = true;
     std::uint64_t m_synchronisationSequence = 0;
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -125,7 +125,7 @@
 void MemberTable::setSelf(const MemberUpdate &update)
 {
     MemberRecord &record = m_records.at(m_selfId);
-    m_changed = m_changed || record.update.state != update.state;
+    m_changed = m_changed || record.update.state != update.state || record.update.ref != update.ref;
     record.update = update;
 }
 
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -1,6 +1,6 @@
 #include "platform/documents.h"
 
-#include "settings/settings.h"
+#include "proxy/usableentry.h"
 
 #include <nlohmann/json.hpp>
 
@@ -115,8 +115,7 @@
         const json &sequence = status.at("seq-no");
         const auto state = status.at("state").get<std::string>();
         const bool known = state == "ready" || state == "draining";
-        if (!known || !slots.is_number_integer() || !sequence.is_number_integer() || slots.get<int>() < 1 || entry.service.empty()
-            || !settings::parseEndpoint(entry.address).has_value()) {
+        if (!known || !slots.is_number_integer() || !sequence.is_number_integer()) {
             return std::nullopt;
         }
         entry.slots = slots.get<int>();
@@ -130,7 +129,7 @@
             }
             entry.born = document.at("born").get<std::int64_t>();
         }
-        return entry;
+        return proxy::isUsableEntry(entry) ? std::optional(entry) : std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -40,6 +40,16 @@
     return {text, static_cast<std::size_t>(length)};
 }
 
+/** Bytes of a complete head, without its first line's fixed parts. */
+std::size_t headSize(const MessageHead &head)
+{
+    std::size_t size = head.method.size() + head.target.size();
+    for (const net::Header &header : head.headers) {
+        size += header.name.size() + header.value.size() + std::string_view(": \r\n").size();
+    }
+    return size;
+}
+
 bool hasBody(int status)
 {
     constexpr int noContent = 204;
@@ -119,7 +129,7 @@
             reject(HTTP_STATUS_BAD_REQUEST, "malformed request");
         } else if (m_tooLarge) {
             reject(HTTP_STATUS_PAYLOAD_TOO_LARGE, "the body is too large");
-        } else if (m_parser.inMessage() && m_parser.headBytes() > m_limits.maximumHeaderBytes) {
+        } else if (m_headTooLarge || (m_parser.inMessage() && m_parser.headBytes() > m_limits.maximumHeaderBytes)) {
             reject(HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
         }
     }
@@ -129,6 +139,7 @@
 {
     m_request.head = std::move(head);
     m_timer.set(bodyTimeout);
+    m_headTooLarge = headSize(m_request.head) > m_limits.maximumHeaderBytes;
     m_tooLarge = m_request.head.contentLength.value_or(0) > m_limits.maximumBodyBytes;
     if (!net::findHeader(m_request.head.headers, "Expect").empty()) {
         constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -96,7 +96,8 @@
     bool m_closeAfterAnswer = false;
     bool m_closing = false; ///< no further request is read
     bool m_ended = false;
-    bool m_tooLarge = false;
+    bool m_tooLarge = false; ///< the body is longer than allowed
+    bool m_headTooLarge = false;
     bool m_noBody = false; ///< the answer to HEAD has none
     bool m_http10 = false;
     bool m_receiving = false; ///< a part of a request has been read
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -14,6 +14,8 @@
 constexpr int notFound = 404;
 /** For a caller that states no deadline. */
 constexpr Duration defaultDeadline = std::chrono::seconds{10};
+/** A longer stated deadline counts like none; no caller waits that long, and it could not be added to a time. */
+constexpr std::uint64_t longestDeadlineMilliseconds = 24ULL * 60 * 60 * 1000;
 /** The answer must reach the caller before it gives up. */
 constexpr Duration answerMargin = std::chrono::milliseconds{25};
 /** Part of the latency objective that a request may wait for an upstream with room. */
@@ -32,7 +34,8 @@
 Duration statedDeadline(const MessageHead &head, const HeaderNames &names)
 {
     const auto stated = net::parseNumber(net::findHeader(head.headers, names.deadline));
-    return stated ? Duration{std::chrono::milliseconds{*stated}} : defaultDeadline;
+    const bool plausible = stated && *stated <= longestDeadlineMilliseconds;
+    return plausible ? Duration{std::chrono::milliseconds{*stated}} : defaultDeadline;
 }
 
 } // namespace
@@ -96,6 +99,10 @@
         refuse(now, "stopping");
         return;
     }
+    if (m_deadline <= now) {
+        refuse(now, "no-time-left");
+        return;
+    }
     if (m_context.crashes.refused(m_fingerprint)) {
         fail(now, badGateway, "crashes-upstreams");
         return;
@@ -210,8 +217,8 @@
     const bool allowed = meaning.end != routing::AttemptEnd::Answered && !free && budget.balance() >= 1;
     const routing::NextStep step = routing::nextStep(
         {route().repeatability, meaning.end, m_mayHaveRun, m_runs, m_sends, std::max(1, route().maxAttempts), allowed, m_deadline - now});
-    if (step != routing::NextStep::Deliver && !m_attempts.empty()) {
-        return; // a hedge is still running
+    if (meaning.end != routing::AttemptEnd::Answered && !m_attempts.empty()) {
+        return; // the other of the two attempts may still be answered
     }
     switch (step) {
     case routing::NextStep::Deliver:
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -54,7 +54,9 @@
     void refuse(TimePoint now, const char *reason);
     void fail(TimePoint now, int status, const char *reason);
     void onTimeout();
+    void endUnanswered(fleet::AttemptOutcome outcome);
     void finish(TimePoint now, int status, const char *reason);
+    void abandon(TimePoint now, const Attempt &attempt);
     void releaseAttempts(TimePoint now);
     bool hedgeDue(TimePoint now) const;
     Duration maximumIdle() const;
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -29,6 +29,15 @@
         return false;
     }
     m_streaming = &attempt;
+    // An answer of another attempt could not be used any more.
+    for (const auto &other : m_attempts) {
+        if (other.get() != &attempt) {
+            abandon(net::now(), *other);
+        }
+    }
+    std::erase_if(m_attempts, [&attempt](const auto &other) {
+        return other.get() != &attempt;
+    });
     const MessageHead &head = attempt.result().head;
     m_caller.start(head.status, answerHeaders(head, m_context.names), head.contentLength);
     m_caller.sendBody(attempt.result().body);
@@ -74,12 +83,17 @@
 }
 
 void Exchange::onTimeout()
+{
+    endUnanswered(fleet::AttemptOutcome::TimedOut);
+}
+
+void Exchange::endUnanswered(fleet::AttemptOutcome outcome)
 {
     const TimePoint now = net::now();
     bool running = m_mayHaveRun;
     for (const auto &attempt : m_attempts) {
         running = running || attempt->mayHaveRun();
-        settle(now, *attempt, fleet::AttemptOutcome::TimedOut);
+        settle(now, *attempt, outcome);
     }
     // Not called from a hook of an attempt, so they may go at once; their upstreams drop the work.
     m_attempts.clear();
@@ -108,10 +122,15 @@
     logRequest(m_requestId, m_route, status, reason, m_sends, now - m_request.received);
 }
 
+void Exchange::abandon(TimePoint now, const Attempt &attempt)
+{
+    m_context.board.end(now, attempt.upstream().id, attempt.upstream().born, fleet::AttemptOutcome::Abandoned, {});
+}
+
 void Exchange::releaseAttempts(TimePoint now)
 {
     for (const auto &attempt : m_attempts) {
-        m_context.board.end(now, attempt->upstream().id, attempt->upstream().born, fleet::AttemptOutcome::Abandoned, {});
+        abandon(now, *attempt);
     }
     m_attempts.clear();
 }
@@ -123,7 +142,8 @@
 
 void Exchange::endForStop()
 {
-    onTimeout();
+    // The stop says nothing about the upstreams.
+    endUnanswered(fleet::AttemptOutcome::Abandoned);
 }
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -24,6 +24,8 @@
 /** The list of instances is read at the start: those that register later greet this one. Later readings find instances
  * that no greeting has reached. */
 constexpr Duration listingPeriod = std::chrono::seconds{60};
+/** Time between greetings of the seeds by an instance that knows no other. */
+constexpr Duration greetingPeriod = std::chrono::seconds{1};
 /** Instances of each data centre on which the callers of one host are placed. */
 constexpr std::size_t instancesPerDataCentre = 4;
 /** Time in which callers learn that this instance leaves; it serves until then. */
@@ -45,7 +47,6 @@
 Gateway::Gateway(net::EventLoop &loop, ProxySettings settings, HeaderNames names, Incarnation incarnation)
     : m_loop(loop)
     , m_settings(std::move(settings))
-    , m_self{m_settings.instance, incarnation}
     , m_context(loop, std::move(names), m_settings.instance, m_settings.dataCentre, incarnation)
     , m_proxy(m_context)
     , m_datagrams(loop,
@@ -99,8 +100,8 @@
     telemetry::writeLog(LogLevel::Info,
                         "start",
                         "serving",
-                        {{"instance", m_self.id.value},
-                         {"incarnation", std::to_string(m_self.incarnation)},
+                        {{"instance", m_settings.instance.value},
+                         {"incarnation", std::to_string(m_membership.self().incarnation)},
                          {"data-centre", m_settings.dataCentre.value},
                          {"callers", m_settings.callers.text()},
                          {"store", m_settings.store.text()}});
@@ -156,7 +157,7 @@
     answer.hold = m_settings.directoryHold;
     std::vector<std::string> others;
     for (const membership::Member *member : ranked) {
-        const bool placed = !member->callerAddress.empty() && !(member->ref.id == m_self.id && !ready());
+        const bool placed = !member->callerAddress.empty() && !(member->ref.id == m_settings.instance && !ready());
         if (placed) {
             (member->dataCentre == dataCentre ? answer.addresses : others).push_back(member->callerAddress);
         }
@@ -178,7 +179,9 @@
 void Gateway::tick()
 {
     const TimePoint now = net::now();
+    outrankFormerRun();
     sendMembership(m_membership.onTick(now));
+    greetSeeds(now);
     m_feed->tick(now, *m_membership.view());
     m_proxy.tick(now);
     m_context.board.expireReports(now);
@@ -203,6 +206,31 @@
     m_timer.set(tickPeriod);
 }
 
+void Gateway::outrankFormerRun()
+{
+    const Incarnation before = m_membership.self().incarnation;
+    if (m_membership.outrankFormerRun()) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "join",
+                            "a former run of this instance had a later clock; this one takes a later incarnation",
+                            {{"before", std::to_string(before)}, {"incarnation", std::to_string(m_membership.self().incarnation)}});
+    }
+}
+
+void Gateway::greetSeeds(TimePoint now)
+{
+    // Once one other instance is known, the failure detector finds the rest.
+    if (now < m_nextGreeting || m_membership.view()->live().size() > 1) {
+        return;
+    }
+    m_nextGreeting = now + greetingPeriod;
+    for (const settings::Endpoint &seed : m_settings.seeds) {
+        if (seed != m_settings.peers) {
+            m_datagrams.send(seed, fleet::encodeDatagram({m_membership.self(), m_membership.greeting()}));
+        }
+    }
+}
+
 void Gateway::registerSelf()
 {
     const TimePoint now = net::now();
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -72,13 +72,14 @@
     void reportUnsent();
     void registerSelf();
     void listPeers();
+    void outrankFormerRun();
+    void greetSeeds(TimePoint now);
     void answerPeer(evhttp_request *request);
     void answerMetrics(evhttp_request *request);
     std::size_t placedPerDataCentre() const;
 
     net::EventLoop &m_loop;
     ProxySettings m_settings;
-    InstanceRef m_self;
     RequestContext m_context;
     ProxyTask m_proxy;
     DatagramSocket m_datagrams;
@@ -96,6 +97,7 @@
     TimePoint m_nextPrune{};
     TimePoint m_nextRegistration{};
     TimePoint m_nextListing{};
+    TimePoint m_nextGreeting{};
     TimePoint m_stopBegan{};
     bool m_registered = false;
     std::uint64_t m_reportedUnsent = 0;
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -51,16 +51,16 @@
 {
     const auto endpoint = settings::parseEndpoint(address);
     if (endpoint.has_value()) {
-        m_datagrams.send(endpoint.value(), fleet::encodeDatagram({m_self, message}));
+        m_datagrams.send(endpoint.value(), fleet::encodeDatagram({m_membership.self(), message}));
     }
 }
 
 void Gateway::broadcast(const fleet::FleetMessage &message)
 {
-    const std::string bytes = fleet::encodeDatagram({m_self, message});
+    const std::string bytes = fleet::encodeDatagram({m_membership.self(), message});
     for (const membership::Member *member : m_membership.view()->live()) {
         const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->ref.id != m_self.id && endpoint.has_value()) {
+        if (member->ref.id != m_settings.instance && endpoint.has_value()) {
             m_datagrams.send(endpoint.value(), bytes);
         }
     }
@@ -68,10 +68,10 @@
 
 void Gateway::sendInDataCentre(const fleet::FleetMessage &message)
 {
-    const std::string bytes = fleet::encodeDatagram({m_self, message});
+    const std::string bytes = fleet::encodeDatagram({m_membership.self(), message});
     for (const membership::Member *member : m_membership.view()->live()) {
         const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->dataCentre == m_settings.dataCentre && member->ref.id != m_self.id && endpoint.has_value()) {
+        if (member->dataCentre == m_settings.dataCentre && member->ref.id != m_settings.instance && endpoint.has_value()) {
             m_datagrams.send(endpoint.value(), bytes);
         }
     }
@@ -99,7 +99,7 @@
         telemetry::writeLog(LogLevel::Warning, "receive datagram", "malformed");
         return;
     }
-    if (datagram->from.id != m_self.id) {
+    if (datagram->from.id != m_settings.instance) {
         take(*datagram);
     }
 }
--- a/src/proxy/messageparser.cpp
+++ b/src/proxy/messageparser.cpp
@@ -162,6 +162,10 @@
     if (!head.chunked && parser->content_length != std::numeric_limits<std::uint64_t>::max()) {
         head.contentLength = parser->content_length;
     }
+    // An offer to change the protocol may be ignored; the message goes on as HTTP/1.1. CONNECT may not.
+    if (parser->method != HTTP_CONNECT || self->m_kind == Kind::Answer) {
+        parser->upgrade = 0;
+    }
     head.keepAlive = http_should_keep_alive(parser) != 0;
     head.http10 = parser->http_major == 1 && parser->http_minor == 0;
     self->m_hooks.onHead(std::move(head));
--- a/src/proxy/storefeed.cpp
+++ b/src/proxy/storefeed.cpp
@@ -2,6 +2,7 @@
 
 #include "net/httpfetch.h"
 #include "proxy/compression.h"
+#include "proxy/usableentry.h"
 #include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,21 @@
 /** An exported copy is given out for so long. The age that it states stays true enough for the age of knowledge. */
 constexpr Duration exportLifetime = std::chrono::milliseconds{200};
 
+/** Without the entries of another instance that name no upstream to use. */
+std::vector<fleet::UpstreamEntry> usableEntries(std::vector<fleet::UpstreamEntry> entries)
+{
+    const std::size_t unusable = std::erase_if(entries, [](const fleet::UpstreamEntry &entry) {
+        return !isUsableEntry(entry);
+    });
+    if (unusable > 0) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "take upstreams",
+                            "entries of another instance name no upstream and are passed over",
+                            {{"entries", std::to_string(unusable)}});
+    }
+    return entries;
+}
+
 } // namespace
 
 StoreFeed::StoreFeed(net::EventLoop &loop, StoreAccess access, InstanceId self, DataCentreId dataCentre, StoreFeedHooks hooks)
@@ -164,7 +180,7 @@
 void StoreFeed::takeDelta(const fleet::UpstreamDelta &delta)
 {
     bool changed = false;
-    for (const fleet::UpstreamEntry &entry : delta.entries) {
+    for (const fleet::UpstreamEntry &entry : usableEntries(delta.entries)) {
         changed = m_catalogue.apply(entry) != fleet::CatalogueChange::Nothing || changed;
     }
     for (const fleet::DepartedUpstream &departed : delta.departed) {
@@ -264,7 +280,7 @@
             for (const json &entry : whole.at(2)) {
                 entries.push_back(entry.get<fleet::UpstreamEntry>());
             }
-            if (m_catalogue.replace(entries)) {
+            if (m_catalogue.replace(usableEntries(std::move(entries)))) {
                 publishCatalogue();
             }
         }
--- a/test/correctness/proxy_test.cpp
+++ b/test/correctness/proxy_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <thread>
 
 using namespace jackdawdoor;
@@ -377,3 +378,69 @@
         CHECK_MESSAGE(budget.balance() * instances <= context.retryLimits.slack, "the fleet can save up more than its slack");
     }
 }
+
+// Guards against two answers on one connection: a hedge ended while the first upstream's large answer was passed on.
+TEST_CASE("a hedge that ends while a large answer is passed on does not disturb it")
+{
+    const std::string large(2000000, 'x');
+    std::atomic<int> asked{0};
+    const auto script = [&](const ReceivedRequest &request) {
+        if (request.head.find("/safe/large") == std::string::npos || asked++ > 0) {
+            ScriptedReply reply = healthy(request);
+            reply.delay = std::chrono::milliseconds{request.head.find("/safe/large") == std::string::npos ? 0 : 600};
+            return reply;
+        }
+        // The head and more than is kept come at 900 ms, after the hedge began, and the rest long after the hedge's answer.
+        const std::string bytes = ScriptedUpstream::answerTo(request, 200, large);
+        return ScriptedReply{bytes.substr(0, 1500000),
+                             false,
+                             false,
+                             false,
+                             std::chrono::milliseconds{900},
+                             bytes.substr(1500000),
+                             std::chrono::milliseconds{1200}};
+    };
+    ScriptedUpstream first(script);
+    ScriptedUpstream second(script);
+    const World world({&first, &second});
+    for (int count = 0; count < 16; ++count) {
+        CHECK(hasStatus(ask(world.instance->callersPort(), callerRequest("GET", "/safe/a", "early-" + std::to_string(count))), 200));
+    }
+    RawClient client(world.instance->callersPort(), 1500);
+    client.send(callerRequest("GET", "/safe/large", "id-1"));
+    const std::string answer = client.receiveAll();
+    CHECK_MESSAGE(asked == 2, "the request was not hedged, so that this test shows nothing: " << asked.load());
+    const std::size_t head = answer.find("\r\n\r\n");
+    REQUIRE(head != std::string::npos);
+    CHECK_MESSAGE(answer.substr(head + 4) == large, "the body has " << answer.size() - head - 4 << " bytes and is not the upstream's");
+}
+
+TEST_CASE("limits and framing of a request")
+{
+    ScriptedUpstream upstream(healthy);
+    const World world({&upstream});
+    const int port = world.instance->callersPort();
+    const std::string longValue(20000, 'x');
+    CHECK_MESSAGE(hasStatus(ask(port, "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nX-Long: " + longValue + "\r\n\r\n"), 431),
+                  "a header beyond the operator's limit was accepted");
+    CHECK_MESSAGE(
+        hasStatus(ask(port, "POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+                  400),
+        "a request with two lengths was accepted");
+    std::string upgrade = callerRequest("GET", "/safe/a", "id-1");
+    upgrade.insert(upgrade.size() - 2, "Upgrade: h2c\r\nConnection: Upgrade\r\n");
+    CHECK_MESSAGE(hasStatus(ask(port, upgrade), 200), "an offer to change the protocol was not ignored");
+    CHECK(upstream.requests().size() == 1);
+}
+
+TEST_CASE("a deadline beyond all measure counts like none, and one that is over is not passed on")
+{
+    ScriptedUpstream upstream(healthy);
+    const World world({&upstream});
+    std::string request = callerRequest("GET", "/safe/a", "id-1");
+    request.replace(request.find("4000"), 4, "18446744073709551615");
+    CHECK_MESSAGE(hasStatus(ask(world.instance->callersPort(), request), 200), "a very long deadline ended the request");
+    const std::string answer = ask(world.instance->callersPort(), callerRequest("POST", "/once/a", "id-2", "x", 1));
+    CHECK_MESSAGE(hasStatus(answer, 503), "an order whose time was over was answered: " << answer);
+    CHECK_MESSAGE(upstream.requests().size() == 1, "an order whose time was over reached an upstream");
+}
--- /dev/null
+++ b/test/correctness/proxyfleet_test.cpp
@@ -0,0 +1,254 @@
+/** Several instances on the users' platform: how they find each other, share what the store holds, and share evidence. */
+#include "platform/names.h"
+#include "proxy/proxytask.h"
+#include "standins/proxyinstance.h"
+#include "standins/rawclient.h"
+
+#include <doctest/doctest.h>
+
+#include <mutex>
+#include <optional>
+#include <thread>
+
+using namespace jackdawdoor;
+using standins::callerRequest;
+using standins::PlatformStore;
+using standins::ProxyInstance;
+using standins::RawClient;
+using standins::ReceivedRequest;
+using standins::ScriptedReply;
+using standins::ScriptedUpstream;
+using standins::StoreFault;
+
+namespace {
+
+/** The instances of a data centre know each other well within this time. */
+constexpr Duration meetingTime = std::chrono::seconds{5};
+
+/** The proxy task alone, with its messages to other instances caught. */
+class TaskWorld
+{
+public:
+    TaskWorld()
+    {
+        m_loop.start();
+        m_loop.call([this] {
+            m_context =
+                std::make_unique<proxy::RequestContext>(m_loop, platform::names::headers(), InstanceId{"i"}, DataCentreId{"dc-1"}, 1);
+            m_context->broadcast = [this](const fleet::FleetMessage &message) {
+                const std::lock_guard lock(m_mutex);
+                m_messages.push_back(message);
+            };
+            routing::Route route;
+            route.host = "h.example";
+            route.pathPrefix = "/once/";
+            route.services = {{ServiceId{"svc"}, 1}};
+            route.timeout = std::chrono::seconds{3};
+            route.maxAttempts = 3;
+            m_context->routes = std::make_shared<const routing::RouteTable>(
+                1, std::vector{route}, std::vector<routing::RoutedService>{}, routing::CallerLimits{});
+            m_task = std::make_unique<proxy::ProxyTask>(*m_context);
+            m_port = m_task->listen({"127.0.0.1", 0}).value().port;
+        });
+    }
+
+    ~TaskWorld()
+    {
+        m_loop.call([this] {
+            m_task.reset();
+            m_context.reset();
+        });
+        m_loop.stop();
+    }
+
+    TaskWorld(const TaskWorld &) = delete;
+    TaskWorld &operator=(const TaskWorld &) = delete;
+
+    void setUpstreams(const std::vector<std::string> &addresses)
+    {
+        std::vector<fleet::UpstreamEntry> entries;
+        for (const std::string &address : addresses) {
+            fleet::UpstreamEntry entry;
+            entry.id = UpstreamId{"u" + std::to_string(entries.size() + 1)};
+            entry.service = ServiceId{"svc"};
+            entry.address = address;
+            entry.dataCentre = DataCentreId{"dc-1"};
+            entry.slots = 6;
+            entries.push_back(entry);
+        }
+        call([&](proxy::RequestContext &context, proxy::ProxyTask &) {
+            context.board.setEntries(net::now(), entries);
+        });
+    }
+
+    void call(const std::function<void(proxy::RequestContext &, proxy::ProxyTask &)> &action)
+    {
+        m_loop.call([&] {
+            action(*m_context, *m_task);
+        });
+    }
+
+    int port() const
+    {
+        return m_port;
+    }
+
+    template <typename Message>
+    std::vector<Message> messages()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<Message> found;
+        for (const fleet::FleetMessage &message : m_messages) {
+            if (const auto *typed = std::get_if<Message>(&message)) {
+                found.push_back(*typed);
+            }
+        }
+        return found;
+    }
+
+private:
+    net::EventLoop m_loop;
+    std::unique_ptr<proxy::RequestContext> m_context;
+    std::unique_ptr<proxy::ProxyTask> m_task;
+    std::mutex m_mutex;
+    std::vector<fleet::FleetMessage> m_messages;
+    int m_port = 0;
+};
+
+std::string ask(int port, const std::string &request)
+{
+    RawClient client(port);
+    client.send(request);
+    return client.receiveAnswer();
+}
+
+} // namespace
+
+TEST_CASE("instances find each other by the store, and one reads it for all")
+{
+    PlatformStore store;
+    standins::putConfiguration(store, 1);
+    ProxyInstance first(store, {"edge-1", {}, 0});
+    ProxyInstance second(store, {"edge-2", {}, 0});
+    ProxyInstance third(store, {"edge-3", {}, 0});
+    for (ProxyInstance *instance : {&first, &second, &third}) {
+        REQUIRE_MESSAGE(instance->waitForInstances(3, meetingTime), "the instances did not find each other");
+        REQUIRE(instance->waitForVersion(1));
+    }
+    const int before = store.calls();
+    constexpr Duration watched = std::chrono::seconds{3};
+    std::this_thread::sleep_for(watched);
+    // Readings of the upstreams, and waiting readings of the configuration that end without a change.
+    const int oneReader = static_cast<int>(watched / fleet::readPeriod) + static_cast<int>(watched / std::chrono::milliseconds{800}) + 2;
+    CHECK_MESSAGE(store.calls() - before <= oneReader, "three instances made " << store.calls() - before << " calls");
+    standins::putConfiguration(store, 2);
+    standins::putUpstream(store, "u1", "127.0.0.1:9", 1);
+    for (ProxyInstance *instance : {&first, &second, &third}) {
+        CHECK_MESSAGE(instance->waitForVersion(2), "a version did not reach an instance that does not read the store");
+        CHECK_MESSAGE(instance->waitForUpstreams(1), "an upstream did not reach an instance that does not read the store");
+    }
+}
+
+// Guards against a fleet that cannot meet while the store is away: the seeds of the settings were read and never used.
+TEST_CASE("instances find each other by their seeds while the store is silent")
+{
+    PlatformStore store;
+    store.behave(StoreFault::Silent);
+    ProxyInstance first(store, {"edge-1", {}, 0});
+    ProxyInstance second(store, {"edge-2", {first.peers()}, 0});
+    CHECK_MESSAGE(second.waitForInstances(1, meetingTime), "the second instance does not name the first one");
+    CHECK_MESSAGE(first.waitForInstances(1, meetingTime), "the first instance does not name the second one");
+}
+
+// Guards against an instance that nobody lists after a restart: its clock had been set back, so that its new run counted as
+// older than the last.
+TEST_CASE("an instance that restarts with its clock set back is found again")
+{
+    PlatformStore store;
+    standins::putConfiguration(store, 1);
+    ProxyInstance staying(store, {"edge-1", {}, 0});
+    constexpr Incarnation later = 5000000000000;
+    std::optional<ProxyInstance> restarted;
+    restarted.emplace(store, standins::ProxyInstanceOptions{"edge-2", {}, later});
+    REQUIRE(staying.waitForInstances(2, meetingTime));
+    restarted.reset();
+    REQUIRE_MESSAGE(staying.waitForInstances(1, std::chrono::seconds{15}), "a lost instance is still named");
+    restarted.emplace(store, standins::ProxyInstanceOptions{"edge-2", {}, later - 2400000});
+    CHECK_MESSAGE(staying.waitForInstances(2, std::chrono::seconds{15}), "the restarted instance is not named");
+}
+
+TEST_CASE("a failed request and a moved address are told to all, and a planned stop accuses nobody")
+{
+    TaskWorld world;
+    SUBCASE("failure")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &request) {
+            return ScriptedReply{ScriptedUpstream::answerTo(request, 500, "no"), false, false, false, {}};
+        });
+        world.setUpstreams({upstream.address()});
+        ask(world.port(), callerRequest("POST", "/once/a", "id-1", "x"));
+        CHECK(world.messages<fleet::FailureNotice>().size() == 1);
+    }
+    SUBCASE("moved address")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &) {
+            return ScriptedReply{"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false, false, false, {}};
+        });
+        world.setUpstreams({upstream.address()});
+        ask(world.port(), callerRequest("POST", "/once/a", "id-1", "x"));
+        CHECK(world.messages<fleet::MisdirectedNotice>().size() == 1);
+        CHECK(world.messages<fleet::FailureNotice>().empty());
+    }
+    SUBCASE("planned stop")
+    {
+        ScriptedUpstream upstream([](const ReceivedRequest &) {
+            return ScriptedReply{{}, false, false, true, {}};
+        });
+        world.setUpstreams({upstream.address()});
+        RawClient client(world.port());
+        client.send(callerRequest("POST", "/once/a", "id-1", "x"));
+        for (int count = 0; count < 100 && upstream.requests().empty(); ++count) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        world.call([](proxy::RequestContext &, proxy::ProxyTask &task) {
+            task.endRequests();
+        });
+        CHECK_MESSAGE(client.receiveAnswer().starts_with("HTTP/1.1 504"), "an order that may have run was not answered as unknown");
+        CHECK_MESSAGE(world.messages<fleet::FailureNotice>().empty(), "the stop was reported as a failure of the upstream");
+    }
+}
+
+TEST_CASE("a request whose upstream breaks it off and is gone is reported as its crash")
+{
+    TaskWorld world;
+    auto crashing = std::make_unique<ScriptedUpstream>([](const ReceivedRequest &) {
+        return ScriptedReply{{}, false, true, false, {}};
+    });
+    world.setUpstreams({crashing->address()});
+    ask(world.port(), callerRequest("POST", "/once/death", "id-1", "x"));
+    crashing.reset();
+    ask(world.port(), callerRequest("POST", "/once/other", "id-2", "x"));
+    CHECK_MESSAGE(world.messages<fleet::CrashNotice>().size() == 1, "the crash was not reported");
+}
+
+// Guards against a process that ends: the address of an entry that came from another instance was not looked at.
+TEST_CASE("an entry from another instance that names no usable upstream is passed over")
+{
+    net::EventLoop loop;
+    proxy::StoreFeedHooks hooks;
+    hooks.onUpstreams = [] {};
+    proxy::StoreFeed feed(loop, {}, InstanceId{"i"}, DataCentreId{"dc"}, hooks);
+    fleet::UpstreamEntry good;
+    good.id = UpstreamId{"good"};
+    good.service = ServiceId{"svc"};
+    good.address = "127.0.0.1:80";
+    fleet::UpstreamEntry bad = good;
+    bad.id = UpstreamId{"bad"};
+    bad.address = "nowhere";
+    fleet::UpstreamEntry empty = good;
+    empty.id = UpstreamId{"empty"};
+    empty.slots = 0;
+    feed.takeDelta({{good, bad, empty}, {}});
+    REQUIRE(feed.catalogue().entries().size() == 1);
+    CHECK(feed.catalogue().entries().front().id == good.id);
+}
--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -18,9 +18,9 @@
 constexpr Duration patience = std::chrono::seconds{5};
 constexpr Duration pollPeriod = std::chrono::milliseconds{10};
 
-bool waitUntil(const std::function<bool()> &condition)
+bool waitUntil(const std::function<bool()> &condition, Duration time = patience)
 {
-    const TimePoint end = net::now() + patience;
+    const TimePoint end = net::now() + time;
     while (!condition()) {
         if (net::now() > end) {
             return false;
@@ -55,9 +55,11 @@
     return ntohs(address.sin_port);
 }
 
-ProxyInstance::ProxyInstance(PlatformStore &store, const std::string &name, const std::string &host)
+ProxyInstance::ProxyInstance(PlatformStore &store, const ProxyInstanceOptions &options)
 {
-    m_settings.instance = InstanceId{name};
+    const std::string host = "127.0.0.1";
+    m_settings.instance = InstanceId{options.name};
+    m_settings.seeds = options.seeds;
     m_settings.dataCentre = DataCentreId{"dc-1"};
     m_settings.callers = {host, freePort()};
     m_settings.readiness = {host, freePort()};
@@ -66,9 +68,10 @@
     m_settings.metrics = {host, freePort()};
     m_settings.store = {"127.0.0.1", store.server().port()};
     m_loop.start();
-    m_loop.call([this] {
+    m_loop.call([this, &options] {
         m_client = std::make_unique<platform::StoreClient>(m_loop, m_settings.store);
-        const auto incarnation = static_cast<Incarnation>(net::now().time_since_epoch().count());
+        const auto clock = static_cast<Incarnation>(net::now().time_since_epoch().count());
+        const Incarnation incarnation = options.incarnation == 0 ? clock : options.incarnation;
         m_gateway = std::make_unique<proxy::Gateway>(m_loop, m_settings, platform::names::headers(), incarnation);
         m_server = std::make_unique<platform::PlatformServer>(m_loop, *m_gateway);
         const auto listening = m_server->listen(m_settings);
@@ -116,6 +119,24 @@
     });
 }
 
+settings::Endpoint ProxyInstance::peers() const
+{
+    return m_settings.peers;
+}
+
+bool ProxyInstance::waitForInstances(std::size_t count, Duration time)
+{
+    return waitUntil(
+        [&] {
+            std::size_t named = 0;
+            call([&](proxy::Gateway &gateway) {
+                named = gateway.addressesFor("h.example", m_settings.dataCentre).addresses.size();
+            });
+            return named == count;
+        },
+        time);
+}
+
 bool ProxyInstance::waitForUpstreams(std::size_t count)
 {
     return waitUntil([&] {
--- a/test/standins/proxyinstance.h
+++ b/test/standins/proxyinstance.h
@@ -13,11 +13,18 @@
 
 namespace jackdawdoor::standins {
 
+/** What sets one instance apart from another. */
+struct ProxyInstanceOptions {
+    std::string name = "edge-1";
+    std::vector<settings::Endpoint> seeds = {};
+    Incarnation incarnation = 0; ///< zero: from the clock
+};
+
 /** Runs the parts of the command `proxy` on a thread. */
 class ProxyInstance
 {
 public:
-    explicit ProxyInstance(PlatformStore &store, const std::string &name = "edge-1", const std::string &host = "127.0.0.1");
+    explicit ProxyInstance(PlatformStore &store, const ProxyInstanceOptions &options = {});
     ~ProxyInstance();
     ProxyInstance(const ProxyInstance &) = delete;
     ProxyInstance &operator=(const ProxyInstance &) = delete;
@@ -25,10 +32,14 @@
     int callersPort() const;
     int directoryPort() const;
     int readinessPort() const;
+    settings::Endpoint peers() const;
 
     /** Waits until the instance serves that version; false after five seconds. */
     bool waitForVersion(std::uint64_t version);
 
+    /** Waits until the instance's directory names so many instances; false after the time. */
+    bool waitForInstances(std::size_t count, Duration time);
+
     /** Waits until the instance knows so many upstreams; false after five seconds. */
     bool waitForUpstreams(std::size_t count);
 
--- a/test/standins/scriptedupstream.cpp
+++ b/test/standins/scriptedupstream.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <string_view>
+
 namespace jackdawdoor::standins {
 
 namespace {
@@ -30,9 +32,16 @@
     return {};
 }
 
-bool sendAll(int socket, const std::string &bytes)
+bool sendAll(int socket, std::string_view bytes)
 {
-    return send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    while (!bytes.empty()) {
+        const ssize_t sent = send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
 }
 
 } // namespace
@@ -147,7 +156,12 @@
             const linger immediately{1, 0};
             setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
         }
-        if (!sendAll(socket, reply.bytes) || reply.closeAfter || reply.resetAfter) {
+        bool sent = sendAll(socket, reply.bytes);
+        if (sent && !reply.rest.empty()) {
+            std::this_thread::sleep_for(reply.restDelay);
+            sent = sendAll(socket, reply.rest);
+        }
+        if (!sent || reply.closeAfter || reply.resetAfter) {
             break;
         }
     }
--- a/test/standins/scriptedupstream.h
+++ b/test/standins/scriptedupstream.h
@@ -20,6 +20,8 @@
     bool resetAfter = false;
     bool hang = false; ///< sends nothing and keeps the connection
     Duration delay{};
+    std::string rest = {}; ///< sent after restDelay
+    Duration restDelay = {};
 };
 
 /** A request as it arrived. */
