Share the retry budget of a service by the demand that instances report

Every instance saved up at most one retry, since the slack was divided by all 48 instances, of which 12 had the callers; a service of 8 requests a second has 0.7 at each. Now the reports name the requests of each service, each request deposits its part of the slack by the fleet's demand, and savings decay, so that the fleet's bound holds without a count of instances. Reports of instances that callers do not use go to those that they use only.

A retry no longer goes to an upstream for coverage.

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleetmessage.h"
 
+#include "base/stablehash.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jackdawdoor::fleet {
@@ -16,7 +18,12 @@
         items.push_back(item.inFlight);
         items.push_back(item.successes);
     }
-    return items;
+    json demand = json::array();
+    for (const DemandItem &item : report.demand) {
+        demand.push_back(item.service);
+        demand.push_back(item.requests);
+    }
+    return json::array({std::move(items), std::move(demand), report.serving});
 }
 
 json encodePayload(const FailureNotice &notice)
@@ -61,11 +68,18 @@
 
 LoadReport decodeLoad(const json &in)
 {
-    constexpr std::size_t width = 3;
+    constexpr std::size_t itemWidth = 3;
+    constexpr std::size_t demandWidth = 2;
     LoadReport report;
-    for (std::size_t index = 0; index + width <= in.size(); index += width) {
-        report.items.push_back({in.at(index).get<std::uint32_t>(), in.at(index + 1).get<int>(), in.at(index + 2).get<int>()});
+    const json &items = in.at(0);
+    for (std::size_t index = 0; index + itemWidth <= items.size(); index += itemWidth) {
+        report.items.push_back({items.at(index).get<std::uint32_t>(), items.at(index + 1).get<int>(), items.at(index + 2).get<int>()});
+    }
+    const json &demand = in.at(1);
+    for (std::size_t index = 0; index + demandWidth <= demand.size(); index += demandWidth) {
+        report.demand.push_back({demand.at(index).get<std::uint32_t>(), demand.at(index + 1).get<int>()});
     }
+    report.serving = in.at(2).get<bool>();
     return report;
 }
 
@@ -114,6 +128,11 @@
 
 } // namespace
 
+std::uint32_t serviceKey(const ServiceId &service)
+{
+    return static_cast<std::uint32_t>(stableHash(service.value));
+}
+
 void to_json(json &out, const UpstreamEntry &entry)
 {
     out = json::array({entry.id.value,
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -28,13 +28,26 @@
     bool operator==(const LoadItem &) const = default;
 };
 
-/** What one instance has running, and its successes since the last report. */
+/** Requests of one service at one instance. */
+struct DemandItem {
+    std::uint32_t service = 0; ///< short name, see serviceKey
+    int requests = 0; ///< arrived since the previous report
+
+    bool operator==(const DemandItem &) const = default;
+};
+
+/** What one instance has running, and what has come and ended since the last report. */
 struct LoadReport {
     std::vector<LoadItem> items;
+    std::vector<DemandItem> demand = {};
+    bool serving = false; ///< callers use the sender now, so that it needs the others' reports soon
 
     bool operator==(const LoadReport &) const = default;
 };
 
+/** Short name of a service in messages between instances. */
+std::uint32_t serviceKey(const ServiceId &service);
+
 /** A request failed at an upstream. */
 struct FailureNotice {
     std::uint32_t key = 0; ///< of the upstream's incarnation
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -181,7 +181,9 @@
             choice.cost = cost;
         }
     }
-    if (UpstreamRecord *covered = coverage.pick(request, choice.ready, typical, random)) {
+    // A request that was sent before is not risked again.
+    UpstreamRecord *covered = request.excluded.empty() ? coverage.pick(request, choice.ready, typical, random) : nullptr;
+    if (covered != nullptr) {
         choice.upstream = covered;
         choice.reason = ChoiceReason::Coverage;
         choice.cost = costOf(now, *covered, request, typical);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -107,7 +107,7 @@
         fail(now, badGateway, "crashes-upstreams");
         return;
     }
-    m_context.budgetOf(m_service).onOriginal();
+    m_context.budgetOf(m_service).onOriginal(now);
     m_timer.set(m_deadline - now);
     tryAttempt(now);
 }
@@ -212,9 +212,9 @@
     }
     m_runs += routing::mayHaveRun(meaning.end) ? 1 : 0;
     m_mayHaveRun = m_mayHaveRun || routing::mayHaveRun(meaning.end);
-    limits::RetryBudget &budget = m_context.budgetOf(m_service);
+    limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
     const bool free = meaning.end == routing::AttemptEnd::Unreachable;
-    const bool allowed = meaning.end != routing::AttemptEnd::Answered && !free && budget.balance() >= 1;
+    const bool allowed = meaning.end != routing::AttemptEnd::Answered && !free && budget.allows(now);
     const routing::NextStep step = routing::nextStep(
         {route().repeatability, meaning.end, m_mayHaveRun, m_runs, m_sends, std::max(1, route().maxAttempts), allowed, m_deadline - now});
     if (meaning.end != routing::AttemptEnd::Answered && !m_attempts.empty()) {
@@ -226,7 +226,7 @@
         return;
     case routing::NextStep::Retry:
         if (!free) {
-            static_cast<void>(budget.tryRetry());
+            static_cast<void>(budget.tryRetry(now));
         }
         tryAttempt(now);
         return;
@@ -269,13 +269,13 @@
             m_context.broadcast(fleet::FailureNotice{fleet::upstreamKey(upstream.id, upstream.born)});
         }
     }
-    limits::RetryBudget &budget = m_context.budgetOf(m_service);
-    if (hedgeDue(now) && budget.balance() >= 1) {
+    limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
+    if (hedgeDue(now) && budget.allows(now)) {
         const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, m_context.floorShare};
         const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
         constexpr double soundBelief = 0.4;
         if (choice.upstream != nullptr && choice.belief < soundBelief) {
-            static_cast<void>(budget.tryRetry());
+            static_cast<void>(budget.tryRetry(now));
             startAttempt(now, choice);
         }
     }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -196,8 +196,6 @@
         std::erase_if(m_sharing, [now](const auto &entry) {
             return now - entry.second > sharingLifetime;
         });
-        // Every instance may have saved a retry up, whether it serves requests now or not.
-        m_context.sharers = static_cast<int>(std::max(m_membership.view()->live().size(), m_sharing.size() + 1));
     }
     telemetry::flushLog();
     if (m_onStopped != nullptr) {
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -61,6 +61,7 @@
     void tick();
     void stopStep(TimePoint now);
     void sendReports(TimePoint now);
+    bool countRecent(const std::vector<fleet::DemandItem> &demand);
     void send(const InstanceRef &to, const fleet::FleetMessage &message);
     void sendToAddress(const std::string &address, const fleet::FleetMessage &message);
     void broadcast(const fleet::FleetMessage &message);
@@ -90,6 +91,7 @@
     std::unique_ptr<net::HttpServer> m_peerServer;
     std::unique_ptr<net::HttpServer> m_metricsServer;
     net::Timer m_timer;
+    double m_recentRequests = 0; ///< of callers, since the last reports; decays
     std::map<InstanceId, TimePoint> m_sharing; ///< instances that serve requests, by their last load report
     TimePoint m_nextReport{};
     TimePoint m_nextBroadcast{};
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -14,6 +14,10 @@
 constexpr Duration broadcastPeriod = std::chrono::milliseconds{1000};
 /** Changed upstreams in one datagram; about 120 bytes each. */
 constexpr std::size_t maximumDelta = 40;
+/** An instance counts as used by callers while it had this many requests in this time; the operator's own checks are
+ * about one a second at each instance. */
+constexpr Duration recentTime = std::chrono::seconds{2};
+constexpr double servingRequests = 4;
 constexpr Duration noticePeriod = std::chrono::milliseconds{250};
 
 } // namespace
@@ -23,12 +27,14 @@
     if (now >= m_nextReport) {
         m_nextReport = now + reportPeriod;
         const bool toAll = now >= m_nextBroadcast;
-        const fleet::LoadReport report = m_context.board.takeOwnReport();
-        const bool sharing = !report.items.empty() || m_proxy.connections() > 0;
+        fleet::LoadReport report = m_context.board.takeOwnReport();
+        report.demand = m_context.takeDemand();
+        report.serving = countRecent(report.demand);
+        const bool sharing = report.serving || !report.items.empty() || !report.demand.empty();
         if (toAll) {
             m_nextBroadcast = now + broadcastPeriod;
         }
-        if (sharing && toAll) {
+        if (report.serving && toAll) {
             broadcast(report);
         } else if (sharing) {
             for (const auto &[instance, at] : m_sharing) {
@@ -42,6 +48,16 @@
     }
 }
 
+/** Adds the requests since the last report; true while callers use this instance. */
+bool Gateway::countRecent(const std::vector<fleet::DemandItem> &demand)
+{
+    m_recentRequests *= 1 - toSeconds(reportPeriod) / toSeconds(recentTime);
+    for (const fleet::DemandItem &item : demand) {
+        m_recentRequests += item.requests;
+    }
+    return m_recentRequests >= servingRequests;
+}
+
 void Gateway::send(const InstanceRef &to, const fleet::FleetMessage &message)
 {
     sendToAddress(m_membership.addressOf(to), message);
@@ -108,8 +124,11 @@
 {
     const TimePoint now = net::now();
     if (const auto *report = std::get_if<fleet::LoadReport>(&datagram.message)) {
-        m_sharing[datagram.from.id] = now;
+        if (report->serving) {
+            m_sharing[datagram.from.id] = now;
+        }
         m_context.board.takeReport(now, datagram.from.id, *report);
+        m_context.takeDemandOf(now, report->demand);
     } else if (const auto *failure = std::get_if<fleet::FailureNotice>(&datagram.message)) {
         m_context.board.takeFailure(now, *failure);
     } else if (const auto *misdirected = std::get_if<fleet::MisdirectedNotice>(&datagram.message)) {
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -22,7 +22,7 @@
     settings::Endpoint metrics;
     settings::Endpoint store;
     std::vector<settings::Endpoint> seeds; ///< peer addresses of some instances; may be stale
-    FleetRetryLimits retryLimits;
+    limits::FleetRetryLimits retryLimits;
     double floorShare = 0.7; ///< of a service's sound upstreams, that must get requests
     Duration stopTime = std::chrono::seconds{6}; ///< from the stop signal until the process is killed
     Duration directoryHold = std::chrono::seconds{5}; ///< longest time for which a caller may keep an answer
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -1,16 +1,7 @@
 #include "proxy/requestcontext.h"
 
-#include <algorithm>
-
 namespace jackdawdoor::proxy {
 
-namespace {
-
-/** Share of the fleet's allowance that is used: windows slide, and requests that others still count may have ended. */
-constexpr double usedShare = 0.75;
-
-} // namespace
-
 RequestContext::RequestContext(net::EventLoop &eventLoop, HeaderNames headerNames, InstanceId id, DataCentreId place, std::uint64_t seed)
     : loop(eventLoop)
     , names(std::move(headerNames))
@@ -21,14 +12,32 @@
 {
 }
 
-limits::RetryBudget &RequestContext::budgetOf(const ServiceId &service)
+limits::FleetRetryBudget &RequestContext::budgetOf(const ServiceId &service)
+{
+    return budgets.try_emplace(service, retryLimits).first->second;
+}
+
+std::vector<fleet::DemandItem> RequestContext::takeDemand()
+{
+    std::vector<fleet::DemandItem> demand;
+    for (auto &[service, budget] : budgets) {
+        const int requests = budget.takeUnreported();
+        if (requests > 0) {
+            demand.push_back({fleet::serviceKey(service), requests});
+        }
+    }
+    return demand;
+}
+
+void RequestContext::takeDemandOf(TimePoint now, const std::vector<fleet::DemandItem> &demand)
 {
-    const auto known = budgets.find(service);
-    if (known != budgets.end()) {
-        return known->second;
+    for (auto &[service, budget] : budgets) {
+        for (const fleet::DemandItem &item : demand) {
+            if (item.service == fleet::serviceKey(service)) {
+                budget.onOthers(now, item.requests);
+            }
+        }
     }
-    const double burst = std::max(1.0, retryLimits.slack * usedShare / std::max(1, sharers));
-    return budgets.emplace(service, limits::RetryBudget(retryLimits.ratio * usedShare, burst)).first->second;
 }
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -6,7 +6,7 @@
 #include "fleet/fleetmessage.h"
 #include "fleet/upstreamboard.h"
 #include "fleet/upstreamchoice.h"
-#include "limits/retrybudget.h"
+#include "limits/fleetretrybudget.h"
 #include "net/eventloop.h"
 #include "proxy/headernames.h"
 #include "proxy/linkpool.h"
@@ -16,20 +16,10 @@
 
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace jackdawdoor::proxy {
 
-/** Retry budget of the fleet, as the operator sets it. */
-struct FleetRetryLimits {
-    double ratio = 0.2; ///< repeats per request of a service
-    double slack = 64; ///< repeats beyond the ratio, of all instances together
-
-    bool operator==(const FleetRetryLimits &) const = default;
-};
-
-/** Until the fleet is known, an instance takes it for this large. */
-constexpr int initialSharers = 64;
-
 /** Shared state. */
 struct RequestContext {
     net::EventLoop &loop;
@@ -41,11 +31,10 @@
     fleet::CrashLedger crashes{};
     routing::RouteTablePointer routes{};
     routing::TrafficSplit split{};
-    std::map<ServiceId, limits::RetryBudget> budgets{};
-    FleetRetryLimits retryLimits{};
+    std::map<ServiceId, limits::FleetRetryBudget> budgets{};
+    limits::FleetRetryLimits retryLimits{};
     RandomSource random;
     ProxyMetrics metrics{};
-    int sharers = initialSharers; ///< instances that share the slack of the retry budget
     double floorShare = 0; ///< share of the ready upstreams that get requests at all times
     bool stopping = false; ///< new requests are refused
     std::function<void(const fleet::FleetMessage &)> broadcast{}; ///< to all live instances
@@ -53,7 +42,13 @@
     RequestContext(net::EventLoop &eventLoop, HeaderNames headerNames, InstanceId id, DataCentreId place, std::uint64_t seed);
 
     /** Budget of the service on this instance. */
-    limits::RetryBudget &budgetOf(const ServiceId &service);
+    limits::FleetRetryBudget &budgetOf(const ServiceId &service);
+
+    /** Requests of each service since the last call, for the report to the other instances. */
+    std::vector<fleet::DemandItem> takeDemand();
+
+    /** Counts requests that arrived at another instance. */
+    void takeDemandOf(TimePoint now, const std::vector<fleet::DemandItem> &demand);
 };
 
 } // namespace jackdawdoor::proxy
