End a planned stop before its time is over

Cause: a process with an answer that its caller does not read waited for the end of the stop time and was there when the platform kills it. The test failed before: 6.019 s against 6 s.

--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -32,6 +32,8 @@
 constexpr Duration stopAdmission = std::chrono::milliseconds{2600};
 /** Left of the stop time when the last requests get their final answer. */
 constexpr Duration stopReserve = std::chrono::milliseconds{450};
+/** Left of it when the process ends although answers could not be delivered; more than a tick. */
+constexpr Duration exitReserve = std::chrono::milliseconds{150};
 
 membership::Member selfMember(const ProxySettings &settings, Incarnation incarnation)
 {
@@ -305,8 +307,11 @@
         m_proxy.endRequests();
     }
     const bool finished = m_proxy.requests() == 0 && m_proxy.unsentAnswers() == 0;
-    if (m_context.stopping && (finished || since >= m_settings.stopTime)) {
-        telemetry::writeLog(LogLevel::Info, "stop", "every request has ended");
+    if (m_context.stopping && (finished || since >= m_settings.stopTime - exitReserve)) {
+        telemetry::writeLog(finished ? LogLevel::Info : LogLevel::Warning,
+                            "stop",
+                            finished ? "every request has ended" : "the stop time is over",
+                            {{"undelivered", std::to_string(m_proxy.unsentAnswers())}});
         telemetry::flushLog();
         m_onStopped();
     }
--- a/test/correctness/proxy_test.cpp
+++ b/test/correctness/proxy_test.cpp
@@ -348,6 +348,29 @@
     CHECK_MESSAGE(world.instance->stopped(), "the process did not end within the stop time");
 }
 
+// Guards against a process that is killed at the end of its stop time because a caller does not read its answer.
+TEST_CASE("a planned stop ends within its time although an answer cannot be delivered")
+{
+    // Answers of this size are complete before they are passed on; together they fill the buffers of the system.
+    const std::string large(700000, 'x');
+    ScriptedUpstream upstream([&](const ReceivedRequest &request) {
+        return ScriptedReply{ScriptedUpstream::answerTo(request, 200, large), false, false, false, {}};
+    });
+    World world({&upstream});
+    RawClient client(world.instance->callersPort());
+    for (int count = 0; count < 30; ++count) {
+        client.send(callerRequest("GET", "/safe/a", "id-" + std::to_string(count)));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    const TimePoint began = net::now();
+    world.instance->beginStop();
+    while (!world.instance->stopped() && net::now() - began < std::chrono::seconds{8}) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    const Duration stopTime = proxy::ProxySettings{}.stopTime;
+    CHECK_MESSAGE(net::now() - began < stopTime, "the process was still there at the end of its stop time");
+}
+
 TEST_CASE("the directory names this instance while it is ready")
 {
     ScriptedUpstream upstream(healthy);
