--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -16,8 +16,9 @@
 constexpr double otherDataCentreCost = 0.15;
 /** A cold upstream takes twice as long. */
 constexpr double coldCost = 1.0;
-/** Requests beyond the slots wait in the upstream's queue; so many more are offered before it counts as full. */
-constexpr double maximumQueuePerSlot = 0.5;
+/** Requests beyond the slots wait in the upstream's queue; so many more are offered before it counts as full. Waiting
+ * there for a run and a half is better than a run at an upstream that is believed gray. */
+constexpr double maximumQueuePerSlot = 1.5;
 /** Below this share of busy slots load makes no difference. */
 constexpr double freeLoad = 0.6;
 /** Slower upstreams cost what they take longer, up to this many typical runs. */
