Count an upstream as used only for new requests, and cover by the reported demand

An upstream counted as used while anything ran there, also a request that a slow upstream had had for five seconds, and each load report renewed that. Besides, the fleet's request rate was taken from what was in flight, which grows when upstreams are slow, so that fewer requests covered. Load reports now name the requests begun, and the rate is the reported demand.

Test, failing before (10 of 20 upstreams got new requests, 14 are due): "upstreams whose requests run long still get new ones in every two seconds".

--- a/bench/platform/servicemodel.cpp
+++ b/bench/platform/servicemodel.cpp
@@ -168,7 +168,8 @@
     {
         Instance &instance = m_instances[request->instance];
         const TimePoint now = m_events.now();
-        const fleet::ChoiceRequest wanted{service, m_load.repeatability, {}, request->tried, floorShare + floorMargin};
+        const fleet::ChoiceRequest wanted{
+            service, m_load.repeatability, {}, request->tried, instance.budget.requestsPerSecond(now), floorShare + floorMargin};
         const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, instance.board, wanted, m_random);
         if (choice.upstream == nullptr) {
             constexpr Duration patience = std::chrono::milliseconds{250};
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -17,6 +17,7 @@
         items.push_back(item.key);
         items.push_back(item.inFlight);
         items.push_back(item.successes);
+        items.push_back(item.begun);
     }
     json demand = json::array();
     for (const DemandItem &item : report.demand) {
@@ -68,12 +69,15 @@
 
 LoadReport decodeLoad(const json &in)
 {
-    constexpr std::size_t itemWidth = 3;
+    constexpr std::size_t itemWidth = 4;
     constexpr std::size_t demandWidth = 2;
     LoadReport report;
     const json &items = in.at(0);
     for (std::size_t index = 0; index + itemWidth <= items.size(); index += itemWidth) {
-        report.items.push_back({items.at(index).get<std::uint32_t>(), items.at(index + 1).get<int>(), items.at(index + 2).get<int>()});
+        report.items.push_back({items.at(index).get<std::uint32_t>(),
+                                items.at(index + 1).get<int>(),
+                                items.at(index + 2).get<int>(),
+                                items.at(index + 3).get<int>()});
     }
     const json &demand = in.at(1);
     for (std::size_t index = 0; index + demandWidth <= demand.size(); index += demandWidth) {
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -24,6 +24,7 @@
     std::uint32_t key = 0; ///< of the upstream's incarnation
     int inFlight = 0;
     int successes = 0; ///< since the previous report
+    int begun = 0; ///< requests begun since the previous report
 
     bool operator==(const LoadItem &) const = default;
 };
--- a/src/fleet/upstreamboard.cpp
+++ b/src/fleet/upstreamboard.cpp
@@ -81,6 +81,7 @@
 void UpstreamBoard::begin(TimePoint now, UpstreamRecord &record)
 {
     ++record.ownInFlight;
+    ++record.unreportedBegun;
     record.lastUsed = now;
 }
 
@@ -167,7 +168,7 @@
     for (const LoadItem &item : report.items) {
         if (UpstreamRecord *record = findKey(item.key)) {
             record->belief.addSuccesses(now, item.successes);
-            record->lastUsed = now;
+            record->lastUsed = item.begun > 0 ? now : record->lastUsed;
         }
     }
 }
@@ -188,9 +189,10 @@
 {
     LoadReport report;
     for (auto &[id, record] : m_records) {
-        if (record.ownInFlight > 0 || record.unreportedSuccesses > 0) {
-            report.items.push_back({record.key, record.ownInFlight, record.unreportedSuccesses});
+        if (record.ownInFlight > 0 || record.unreportedSuccesses > 0 || record.unreportedBegun > 0) {
+            report.items.push_back({record.key, record.ownInFlight, record.unreportedSuccesses, record.unreportedBegun});
             record.unreportedSuccesses = 0;
+            record.unreportedBegun = 0;
         }
     }
     return report;
--- a/src/fleet/upstreamboard.h
+++ b/src/fleet/upstreamboard.h
@@ -40,8 +40,9 @@
     TimePoint unusableUntil{}; ///< it could not be reached from here, or another upstream has its address
     int unreachableInRow = 0;
     double meanLatency = 0; ///< seconds, moving mean of successful answers; zero before the first
-    TimePoint lastUsed{}; ///< any instance had a request there; the epoch before the first
+    TimePoint lastUsed{}; ///< any instance sent a request there; the epoch before the first
     int unreportedSuccesses = 0; ///< own outcomes since the last load report
+    int unreportedBegun = 0; ///< own attempts since the last load report
 
     /** Requests that run there or are on their way. */
     int inFlight() const
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -94,11 +94,9 @@
     double doubt = std::numeric_limits<double>::max();
     int dueCount = 0;
     int used = 0; ///< upstreams with a request lately
-    int inFlight = 0; ///< of the service
 
     void consider(TimePoint now, UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random)
     {
-        inFlight += record.inFlight();
         const Duration idle = now - record.lastUsed;
         if (now < record.warmAt) {
             return;
@@ -106,7 +104,7 @@
         const bool once = request.repeatability == routing::Repeatability::Once;
         const double belief = record.belief.probability(now);
         const bool trusted = belief <= (once ? coverageBeliefOnce : coverageBeliefRepeatable);
-        if (record.inFlight() > 0 || idle < (trusted ? coverageAge : usedLifetime)) {
+        if (idle < (trusted ? coverageAge : usedLifetime)) {
             ++used;
             return;
         }
@@ -127,12 +125,12 @@
     }
 
     /** The upstream that the present request covers, or nullptr. */
-    UpstreamRecord *pick(const ChoiceRequest &request, int ready, double typicalLatency, RandomSource &random) const
+    UpstreamRecord *pick(const ChoiceRequest &request, int ready, RandomSource &random) const
     {
         const int missing = static_cast<int>(std::ceil(request.floorShare * ready)) - used - dueCount;
         const bool useDoubted = missing > 0 && doubted != nullptr;
         const int wanted = dueCount + (useDoubted ? missing : 0);
-        const double perPeriod = typicalLatency > 0 ? inFlight / typicalLatency * toSeconds(reportPeriod) : 1;
+        const double perPeriod = request.requestsPerSecond * toSeconds(reportPeriod);
         if (uniform(random) >= std::min(maximumCoverage, wanted / std::max(1.0, perPeriod))) {
             return nullptr;
         }
@@ -183,7 +181,7 @@
         }
     }
     // A request that was sent before is not risked again.
-    UpstreamRecord *covered = request.excluded.empty() ? coverage.pick(request, choice.ready, typical, random) : nullptr;
+    UpstreamRecord *covered = request.excluded.empty() ? coverage.pick(request, choice.ready, random) : nullptr;
     if (covered != nullptr) {
         choice.upstream = covered;
         choice.reason = ChoiceReason::Coverage;
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -23,6 +23,7 @@
     routing::Repeatability repeatability = routing::Repeatability::Once;
     DataCentreId dataCentre; ///< of this instance
     std::vector<UpstreamId> excluded; ///< upstreams of earlier attempts
+    double requestsPerSecond = 0; ///< of the service at all instances; zero: not known
     double floorShare = 0; ///< share of the ready upstreams that get requests at all times, however doubted
 };
 
--- a/src/limits/fleetretrybudget.cpp
+++ b/src/limits/fleetretrybudget.cpp
@@ -40,7 +40,7 @@
     m_recentRequests += 1;
     ++m_unreported;
     m_fromRatio += m_limits.ratio * usedRatio;
-    const double ofWindow = m_recentRequests / toSeconds(rateTime) * toSeconds(m_limits.window);
+    const double ofWindow = requestsPerSecond(now) * toSeconds(m_limits.window);
     m_fromSlack += std::min(1.0, m_limits.slack * usedSlack / ofWindow);
 }
 
@@ -68,6 +68,12 @@
     return true;
 }
 
+double FleetRetryBudget::requestsPerSecond(TimePoint now)
+{
+    advance(now);
+    return m_recentRequests / toSeconds(rateTime);
+}
+
 int FleetRetryBudget::takeUnreported()
 {
     return std::exchange(m_unreported, 0);
--- a/src/limits/fleetretrybudget.h
+++ b/src/limits/fleetretrybudget.h
@@ -29,6 +29,9 @@
     /** Withdraws one retry; returns false, and withdraws nothing, when the budget does not allow it. */
     bool tryRetry(TimePoint now);
 
+    /** Requests of the service per second at all instances, a moving mean. */
+    double requestsPerSecond(TimePoint now);
+
     /** Own requests since the last call, for the report to the other instances. */
     int takeUnreported();
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -112,10 +112,16 @@
     tryAttempt(now);
 }
 
+fleet::UpstreamChoice Exchange::choose(TimePoint now)
+{
+    const double perSecond = m_context.budgetOf(m_service).requestsPerSecond(now);
+    const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, perSecond, m_context.floorShare};
+    return fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
+}
+
 void Exchange::tryAttempt(TimePoint now)
 {
-    const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, m_context.floorShare};
-    const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
+    const fleet::UpstreamChoice choice = choose(now);
     if (choice.upstream == nullptr) {
         waitForRoom(now, choice);
         return;
@@ -271,8 +277,7 @@
     }
     limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
     if (hedgeDue(now) && budget.allows(now)) {
-        const fleet::ChoiceRequest wanted{m_service, route().repeatability, m_context.dataCentre, m_tried, m_context.floorShare};
-        const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, m_context.board, wanted, m_context.random);
+        const fleet::UpstreamChoice choice = choose(now);
         constexpr double soundBelief = 0.4;
         if (choice.upstream != nullptr && choice.belief < soundBelief) {
             static_cast<void>(budget.tryRetry(now));
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -43,6 +43,7 @@
     void endForStop();
 
 private:
+    fleet::UpstreamChoice choose(TimePoint now);
     void tryAttempt(TimePoint now);
     void waitForRoom(TimePoint now, const fleet::UpstreamChoice &choice);
     void startAttempt(TimePoint now, const fleet::UpstreamChoice &choice);
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -48,7 +48,7 @@
 
 ChoiceRequest ask(routing::Repeatability repeatability)
 {
-    return {service, repeatability, DataCentreId{"dc"}, {}, 0};
+    return {service, repeatability, DataCentreId{"dc"}, {}, 0, 0};
 }
 
 } // namespace
@@ -182,6 +182,47 @@
     CHECK_MESSAGE(failed < total / 20, "one request in twenty or more went to failing upstreams: " << failed);
 }
 
+// Guards against upstreams that count as used for as long as an old request runs there: 60 of 126 got nothing new for two
+// seconds while some were slow (avn-puerta-grown trouble-2, FLOOR).
+TEST_CASE("upstreams whose requests run long still get new ones in every two seconds")
+{
+    constexpr int upstreams = 20;
+    constexpr int slow = 10;
+    constexpr int requestsPerSecond = 100;
+    UpstreamBoard board;
+    board.setEntries(start, makeEntries(upstreams));
+    RandomSource random(9);
+    LoadReport others;
+    for (int index = 0; index < slow; ++index) {
+        const UpstreamId id{"u" + std::to_string(100 + index)};
+        UpstreamRecord *record = board.find(id, 1);
+        board.begin(start, *record);
+        // Others failed there too, so that no upstream of these is attractive.
+        board.takeFailure(start, {record->key});
+        others.items.push_back({record->key, 2, 0, 0});
+    }
+    ChoiceRequest request = ask(routing::Repeatability::Once);
+    request.floorShare = 0.7;
+    request.requestsPerSecond = requestsPerSecond;
+    std::set<std::string> used;
+    constexpr int first = requestsPerSecond * 3;
+    for (int count = 0; count < first + 2 * requestsPerSecond; ++count) {
+        const TimePoint now = start + Duration{seconds{1}} * count / requestsPerSecond;
+        if (count % (requestsPerSecond / 4) == 0) {
+            board.takeReport(now, InstanceId{"other"}, others);
+        }
+        const UpstreamChoice choice = chooseUpstream(now, board, request, random);
+        REQUIRE(choice.upstream != nullptr);
+        const UpstreamId id = choice.upstream->entry.id;
+        board.begin(now, *choice.upstream);
+        board.end(now, id, 1, AttemptOutcome::Answered, milliseconds{100});
+        if (count >= first) {
+            used.insert(id.value);
+        }
+    }
+    CHECK_MESSAGE(used.size() >= 14, "only " << used.size() << " of 20 upstreams got new requests");
+}
+
 TEST_CASE("a draining, unreachable, misdirected or tried upstream is not chosen, and a full one only waits")
 {
     UpstreamBoard board;
@@ -353,7 +394,7 @@
 TEST_CASE("datagrams survive their encoding, and malformed ones give nothing")
 {
     const InstanceRef from{InstanceId{"i"}, 7};
-    const std::vector<FleetMessage> messages{LoadReport{{{1, 2, 3}, {4, 5, 6}}, {{7, 8}}, true},
+    const std::vector<FleetMessage> messages{LoadReport{{{1, 2, 3, 4}, {4, 5, 6, 7}}, {{7, 8}}, true},
                                              FailureNotice{9},
                                              CrashNotice{1234567890123ULL, 5},
                                              MisdirectedNotice{6},
