Free a pending request once when its HTTP server is destroyed

Cause: evhttp detaches a request from its connection after a network error, and then its owner frees it; when the server is destroyed the request is still attached, and evhttp frees it with the connection. ServerExchange::onClose freed it in both cases. Ruled out: a second call of onClose (it returns when the exchange is closed).

--- a/src/net/serverexchange.cpp
+++ b/src/net/serverexchange.cpp
@@ -122,14 +122,18 @@
         return;
     }
     self->m_closed = true;
-    // evhttp has detached the request from the connection that it is freeing; the request is freed by its owner.
-    self->m_loop.post([request = self->m_request, alive = self->m_alive, hook = self->m_onGone] {
-        evhttp_request_free(request);
+    // After a network error evhttp has detached the request, and its owner frees it. When the server is destroyed the request
+    // is still attached, and evhttp frees it with its connection.
+    evhttp_request *request = std::exchange(self->m_request, nullptr);
+    const bool detached = evhttp_request_get_connection(request) == nullptr;
+    self->m_loop.post([request, detached, alive = self->m_alive, hook = self->m_onGone] {
+        if (detached) {
+            evhttp_request_free(request);
+        }
         if (*alive && hook) {
             hook();
         }
     });
-    self->m_request = nullptr;
 }
 
 evhttp_connection *ServerExchange::connection() const
--- a/test/error/transport_test.cpp
+++ b/test/error/transport_test.cpp
@@ -1,11 +1,15 @@
 /** Handling of faulty upstreams and callers by the network tasks. */
+#include "net/httpserver.h"
 #include "standins/directproxy.h"
 #include "standins/rawclient.h"
 #include "standins/upstream.h"
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace jackdawdoor;
 using core::AttemptEnd;
@@ -145,3 +149,39 @@
     CHECK_MESSAGE(slow.end() != RawClient::End::Open, "a caller that does not finish its request keeps its connection");
     CHECK_MESSAGE(upstream.runs() == 0, "a request beyond the limits reached the upstream");
 }
+
+// Guards against a double free: evhttp frees the requests of a server that it destroys, and the exchange freed them again.
+TEST_CASE("a server that is destroyed with a pending request frees it once")
+{
+    net::EventLoop loop;
+    loop.start();
+    std::unique_ptr<net::HttpServer> server;
+    std::vector<std::unique_ptr<net::ServerExchange>> pending;
+    std::atomic<int> received = 0;
+    std::atomic<int> gone = 0;
+    int port = 0;
+    loop.call([&] {
+        server = std::make_unique<net::HttpServer>(loop, net::ServerLimits{}, [&](evhttp_request *pendingRequest) {
+            pending.push_back(std::make_unique<net::ServerExchange>(loop, pendingRequest, server->limits(), [&gone] {
+                ++gone;
+            }));
+            ++received;
+        });
+        port = server->listen({"127.0.0.1", 0}).value().port;
+    });
+    RawClient client(port);
+    client.send(request);
+    while (received == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    loop.call([&] {
+        server.reset();
+    });
+    // Runs after the action that the exchange posted.
+    loop.call([&] {
+        CHECK_MESSAGE(pending.front()->closed(), "the exchange does not know that its connection is gone");
+        pending.clear();
+    });
+    CHECK_MESSAGE(gone == 1, "the owner of the exchange was not told that its connection is gone");
+    loop.stop();
+}
