Bound what is read of an upstream's bytes that are no usable answer

Cause: the body of an answer that cannot be streamed (a failure, an unsigned success, a rejection) was collected without a limit, and an answer to another request, or interim answers, were skipped without one until the request's timeout. Ruled out: an endless head or status line (the parser's limit ends it), and an endless success, which is streamed and broken off at the route's timeout.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -80,19 +80,29 @@
         m_hooks.onBodyChunk(*this, bytes);
         return;
     }
+    if (m_rejected) {
+        return;
+    }
     m_result.body.append(bytes);
     if (m_result.body.size() <= maximumBufferedAnswerBytes) {
         return;
     }
     m_result.classification = classifyAnswer(m_result.head, m_requestId, m_names);
     m_streaming = m_hooks.onBufferFull(*this);
-    if (m_streaming) {
-        m_result.body.clear();
+    if (!m_streaming) {
+        // Only a success can be streamed; without a limit, an endless failure body would fill the memory.
+        m_rejected = true;
+        m_connection->rejectAnswer();
     }
+    m_result.body.clear();
 }
 
 void Attempt::onComplete()
 {
+    if (m_rejected) {
+        onFailure(ConnectionFailure::Malformed); // the end of the answer arrived with the bytes that were too many
+        return;
+    }
     m_result.took = age(net::now());
     m_result.classification = classifyAnswer(m_result.head, m_requestId, m_names);
     m_pool.put(m_upstream, std::move(m_connection));
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -78,6 +78,7 @@
     std::string m_requestId;
     TimePoint m_started{};
     bool m_streaming = false;
+    bool m_rejected = false; ///< the answer is too large and cannot be streamed
     bool m_overdue = false;
 };
 
--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -83,9 +83,7 @@
                     handleHead(std::move(head));
                 },
                 [this](std::string_view bytes) {
-                    if (!m_skipping && m_hooks.onBody) {
-                        m_hooks.onBody(bytes);
-                    }
+                    handleBody(bytes);
                 },
                 [this] {
                     handleComplete();
@@ -126,6 +124,8 @@
     m_hooks = std::move(hooks);
     m_requestId = requestId;
     m_busy = true;
+    m_skippedBytes = 0;
+    m_skippedAnswers = 0;
     m_onIdleEnd = {};
     m_parser.expectNoBody(headRequest);
     if (m_connected) {
@@ -212,6 +212,9 @@
     const bool other = !id.empty() && !m_requestId.empty() && id != m_requestId;
     m_skipping = other || head.status < firstFinalStatus;
     if (m_skipping) {
+        if (++m_skippedAnswers > maximumSkippedAnswers) {
+            rejectAnswer();
+        }
         return;
     }
     m_answer = std::move(head);
@@ -224,6 +227,32 @@
     }
 }
 
+void OutboundConnection::handleBody(std::string_view bytes)
+{
+    if (!m_skipping) {
+        if (m_hooks.onBody) {
+            m_hooks.onBody(bytes);
+        }
+        return;
+    }
+    m_skippedBytes += bytes.size();
+    if (m_skippedBytes > maximumSkippedBytes) {
+        rejectAnswer();
+    }
+}
+
+void OutboundConnection::rejectAnswer()
+{
+    // The parser is running, and fail() frees the buffer that it reads. Reading stops, so this happens once.
+    m_closing = true;
+    bufferevent_disable(m_socket, EV_READ);
+    m_loop.post([this, alive = m_alive] {
+        if (*alive && m_busy) {
+            fail(ConnectionFailure::Malformed);
+        }
+    });
+}
+
 void OutboundConnection::handleComplete()
 {
     if (m_skipping) {
--- a/src/proxy/outboundconnection.h
+++ b/src/proxy/outboundconnection.h
@@ -9,6 +9,7 @@
 #include "proxy/messageparser.h"
 #include "settings/settings.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,12 +23,16 @@
  * connection still works, so the timeout spans eight probes. */
 constexpr std::chrono::seconds upstreamPeerTimeout{8};
 
+/** Limits of what is read before the answer to the pending request: surplus answers to earlier requests, and interim ones. */
+constexpr std::size_t maximumSkippedBytes = std::size_t{4} * 1024 * 1024;
+constexpr int maximumSkippedAnswers = 16;
+
 /** How a request on a connection failed. */
 enum class ConnectionFailure {
     NotConnected, ///< the connection was refused or failed to open; nothing was sent
     ConnectTimeout, ///< the connection did not open in time; nothing was sent
     Reset, ///< closed or reset before the end of the answer
-    Malformed, ///< the bytes are not a valid HTTP answer
+    Malformed, ///< the bytes are not a valid HTTP answer, or exceed a limit
 };
 
 /** Name for log lines, such as "reset". */
@@ -67,6 +72,9 @@
     /** True when the connection is open, so that part of the request may have been sent. */
     bool connected() const;
 
+    /** Ends the pending request as Malformed, since its answer is too large to be used. May be called from a hook. */
+    void rejectAnswer();
+
     /** Pauses or resumes reading, so that a large answer does not accumulate in memory. */
     void pauseReading(bool paused);
 
@@ -82,6 +90,7 @@
     void open();
     void readInput();
     void handleHead(MessageHead &&head);
+    void handleBody(std::string_view bytes);
     void handleComplete();
     void fail(ConnectionFailure failure);
     void endIdle();
@@ -103,6 +112,8 @@
     bool m_connected = false;
     bool m_busy = false;
     bool m_skipping = false; ///< the current answer is interim (1xx) or belongs to another request
+    std::size_t m_skippedBytes = 0; ///< of surplus answers since the request was sent
+    int m_skippedAnswers = 0; ///< surplus and interim ones since the request was sent
     bool m_closing = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/test/standins/scriptedupstream.cpp
+++ b/test/standins/scriptedupstream.cpp
@@ -89,6 +89,16 @@
     return m_requests;
 }
 
+std::uint64_t ScriptedUpstream::repeatedBytes() const
+{
+    return m_repeatedBytes;
+}
+
+int ScriptedUpstream::repeatedEnds() const
+{
+    return m_repeatedEnds;
+}
+
 int ScriptedUpstream::abandoned() const
 {
     return m_abandoned.load();
@@ -161,6 +171,11 @@
             std::this_thread::sleep_for(reply.restDelay);
             sent = sendAll(socket, reply.rest);
         }
+        while (sent && !reply.repeated.empty() && !m_stopping) {
+            sent = sendAll(socket, reply.repeated);
+            m_repeatedBytes += sent ? reply.repeated.size() : 0;
+            m_repeatedEnds += sent ? 0 : 1;
+        }
         if (!sent || reply.closeAfter || reply.resetAfter) {
             break;
         }
--- a/test/standins/scriptedupstream.h
+++ b/test/standins/scriptedupstream.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -22,6 +23,7 @@
     Duration delay{};
     std::string rest = {}; ///< sent after restDelay
     Duration restDelay = {};
+    std::string repeated = {}; ///< sent after the rest, again and again until the peer closes the connection
 };
 
 /** Request as received. */
@@ -54,6 +56,12 @@
     /** Number of connections that the peer closed while a hanging request was pending. */
     int abandoned() const;
 
+    /** Bytes of repeated parts sent so far. */
+    std::uint64_t repeatedBytes() const;
+
+    /** Number of connections with a repeated part that the peer has closed. */
+    int repeatedEnds() const;
+
     /** Signed answer to the request, as a healthy upstream sends it. */
     static std::string answerTo(const ReceivedRequest &request, int status, const std::string &body);
 
@@ -68,6 +76,8 @@
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_stopping{false};
     std::atomic<int> m_abandoned{0};
+    std::atomic<std::uint64_t> m_repeatedBytes{0};
+    std::atomic<int> m_repeatedEnds{0};
     int m_listener = -1;
     int m_port = 0;
     std::thread m_acceptor;
