--- a/src/fleet/storereaderelection.cpp
+++ b/src/fleet/storereaderelection.cpp
@@ -15,8 +15,6 @@
 constexpr Duration fleetStartSpread = std::chrono::milliseconds{2500};
 /** Ends before callers come. */
 constexpr Duration fleetStartTime = std::chrono::seconds{6};
-/** A reader sends four notices in a second. */
-constexpr Duration recentNotice = std::chrono::milliseconds{1000};
 
 } // namespace
 
@@ -33,15 +31,11 @@
 
 void StoreReaderElection::beginFleetStart(TimePoint now, double random)
 {
-    m_firstReadAt = now + fleetStartDelay + fromSeconds(toSeconds(fleetStartSpread) * random);
+    m_electionAt = now + fleetStartDelay;
+    m_firstReadAt = m_electionAt + fromSeconds(toSeconds(fleetStartSpread) * random);
     m_fleetStartEnd = now + fleetStartTime;
 }
 
-void StoreReaderElection::recordNotice(TimePoint now)
-{
-    m_lastNotice = now;
-}
-
 void StoreReaderElection::recordRead(TimePoint now)
 {
     m_lastRead = now;
@@ -61,16 +55,15 @@
 
 bool StoreReaderElection::shouldRead(TimePoint now, const membership::MembershipView &view) const
 {
-    const bool first = m_asOf == TimePoint{};
-    if (now - m_lastRead < readPeriod || (first && now < m_firstReadAt)) {
+    if (now - m_lastRead < readPeriod || now < m_electionAt) {
         return false;
     }
-    return isReader(view) || (age(now) > maximumStaleness && !waitsForCopy(now));
-}
-
-bool StoreReaderElection::waitsForCopy(TimePoint now) const
-{
-    return now < m_fleetStartEnd && now - m_lastNotice < recentNotice;
+    // The others wait for the elected reader, so it must not wait itself.
+    if (isReader(view)) {
+        return true;
+    }
+    const bool first = m_asOf == TimePoint{};
+    return first ? now >= m_firstReadAt : age(now) > maximumStaleness && now >= m_fleetStartEnd;
 }
 
 Duration StoreReaderElection::age(TimePoint now) const
--- a/src/fleet/storereaderelection.h
+++ b/src/fleet/storereaderelection.h
@@ -23,14 +23,11 @@
 public:
     StoreReaderElection(InstanceId self, DataCentreId dataCentre);
 
-    /** All instances of the fleet start at about this time, and callers come later. So this instance puts off its first read,
-     * and for some seconds does not read because of a copy that is too old while a reader sends notices: the first readers
-     * are busy serving copies. random: between 0 and 1, so that few instances read before the first copies spread. */
+    /** All instances of the fleet start at about this time, and callers come some seconds later. Until then instances that are
+     * not elected leave the store to the reader, which is busy serving copies: they read only once, and only if no copy has
+     * arrived for some time. random: between 0 and 1, so that few of them do so at the same time. */
     void beginFleetStart(TimePoint now, double random);
 
-    /** Records that a reader's notice has arrived. */
-    void recordNotice(TimePoint now);
-
     /** Records that this instance's copy was complete as of that time. Times earlier than the recorded one are ignored. */
     void advanceAsOf(TimePoint asOf);
 
@@ -47,13 +44,11 @@
     Duration age(TimePoint now) const;
 
 private:
-    bool waitsForCopy(TimePoint now) const;
-
     InstanceId m_self;
     DataCentreId m_dataCentre;
     TimePoint m_asOf{};
     TimePoint m_lastRead{};
-    TimePoint m_lastNotice{};
+    TimePoint m_electionAt{}; ///< before, too few other instances are known
     TimePoint m_firstReadAt{};
     TimePoint m_fleetStartEnd{};
 };
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -217,7 +217,6 @@
 
 void StoreReplica::onNotice(TimePoint now, const fleet::StoreNotice &notice, const settings::Endpoint &stateAddress)
 {
-    m_readSchedule.recordNotice(now);
     const TimePoint asOf = now - notice.age;
     const bool newerConfiguration = notice.configurationVersion > (m_table ? m_table->version() : 0);
     const bool newerUpstreams = notice.catalogue != m_fingerprint && notice.age < m_readSchedule.age(now);
