--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -539,7 +539,7 @@
     table.find(UpstreamId{"u101"}, 1)->lastUsed = start;
     ChoiceRequest request = ask(routing::Repeatability::AtMostOnce);
     CHECK(chooseUpstream(start, table, request, random).upstream != local);
-    request.bodyBytes = 100 * 1000;
+    request.bodyBytes = 100000;
     CHECK_MESSAGE(chooseUpstream(start, table, request, random).upstream == local, "a large body was sent to another data centre");
 }
 
--- a/test/correctness/proxyfleet_test.cpp
+++ b/test/correctness/proxyfleet_test.cpp
@@ -41,7 +41,7 @@
             };
             m_context->reportEvents = [this](const fleet::NoticeItem &item) {
                 const std::lock_guard lock(m_mutex);
-                m_messages.push_back(fleet::UpstreamNotice{{item}});
+                m_messages.emplace_back(fleet::UpstreamNotice{{item}});
             };
             routing::Route route;
             route.host = "h.example";
