--- a/bench/platform/servicemodel.cpp
+++ b/bench/platform/servicemodel.cpp
@@ -26,7 +26,7 @@
 constexpr Duration killedTime = std::chrono::seconds{2};
 constexpr Duration deadline = std::chrono::seconds{8};
 constexpr double floorShare = 0.7;
-constexpr double floorMargin = 0;
+constexpr double floorMargin = 0.03;
 constexpr int queueLength = 24;
 /** Failures are fast, as on the users' bench (3 to 4 ms). */
 constexpr double failureSeconds = 0.004;
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -31,10 +31,10 @@
 constexpr Duration coverageIdleTime = std::chrono::milliseconds{1100};
 /** Each upstream that counts towards the floor needs a request within two seconds. From this idle time on, requests are used
  * to cover it with a probability that should send one within floorSpreadTime. */
-constexpr Duration floorIdleTime = std::chrono::milliseconds{1500};
+constexpr Duration floorIdleTime = std::chrono::milliseconds{1300};
 constexpr Duration floorSpreadTime = std::chrono::milliseconds{250};
 /** From this idle time on, any request covers it. */
-constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1750};
+constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1600};
 /** Interval of load reports. Instances learn of each other's choices only through them, so the fleet should send about one
  * request per interval to each upstream that is due. */
 constexpr Duration reportPeriod = std::chrono::milliseconds{250};
@@ -111,10 +111,10 @@
 
 /** Selects upstreams that need a request even though others have a lower cost.
  *
- * The floor: a share of the ready upstreams must each have had a request recently. Requests go to the upstreams that are
- * least likely gray, and to no more of them than the floor needs, because a failed at-most-once request is lost. Exploration:
- * any request also goes to new upstreams, and idempotent ones, whose failure costs only time, to any idle upstream that may
- * have recovered. */
+ * The floor: a share of the ready upstreams must each have had a request recently. Requests go to those of the idle ones that
+ * are least likely gray, and to no more than the floor lacks, because a failure without a retry loses the request.
+ * Exploration: requests also go to new upstreams, and to idle ones that are probably healthy. Retryable requests accept a
+ * higher probability of a failure. */
 class Coverage
 {
 public:
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration tickPeriod = std::chrono::milliseconds{100};
+/** Added to the operators' floor share, since instances' views of which upstreams were used differ by one load report. */
+constexpr double floorMargin = 0.03;
 constexpr Duration prunePeriod = std::chrono::milliseconds{500};
 /** Load reports go to an instance for this long after its own last report as a serving one. */
 constexpr Duration servingLifetime = std::chrono::milliseconds{2500};
@@ -63,7 +65,7 @@
     })
 {
     m_context.retryLimits = m_settings.retryLimits;
-    m_context.floorShare = m_settings.floorShare;
+    m_context.floorShare = m_settings.floorShare + floorMargin;
     m_context.broadcast = [this](const fleet::FleetMessage &message) {
         broadcast(message);
     };
@@ -123,7 +125,7 @@
     telemetry::writeLog(LogLevel::Info, "reload", settings == m_settings ? "unchanged" : "changed");
     m_settings.retryLimits = settings.retryLimits;
     m_settings.stopGracePeriod = settings.stopGracePeriod;
-    m_context.floorShare = settings.floorShare;
+    m_context.floorShare = settings.floorShare + floorMargin;
     m_settings.directoryTtl = settings.directoryTtl;
     m_settings.seeds = settings.seeds;
     m_settings.store = settings.store;
