Log the evidence of requests that crash upstreams

An attempt whose connection broke now names the fingerprint, each recognised crash has a line with its count and source, and so has each request that is refused for it. Counter jackdawdoor_upstream_crashes_total.

No decision changes.

--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -36,10 +36,15 @@
     crashes.upstreams.insert(upstream);
 }
 
-bool CrashTracker::refused(std::uint64_t request) const
+std::size_t CrashTracker::crashes(std::uint64_t request) const
 {
     const auto found = m_crashes.find(request);
-    return found != m_crashes.end() && found->second.upstreams.size() >= maximumCrashes;
+    return found == m_crashes.end() ? 0 : found->second.upstreams.size();
+}
+
+bool CrashTracker::refused(std::uint64_t request) const
+{
+    return crashes(request) >= maximumCrashes;
 }
 
 void CrashTracker::expire(TimePoint now)
--- a/src/fleet/crashtracker.h
+++ b/src/fleet/crashtracker.h
@@ -32,6 +32,9 @@
     /** Records that the request crashed the upstream, as detected by this or another instance. */
     void recordCrash(TimePoint now, std::uint64_t request, std::uint32_t upstream);
 
+    /** Returns the number of upstreams that the request is known to have crashed. */
+    std::size_t crashes(std::uint64_t request) const;
+
     /** Returns true if the request must not be run again. */
     bool refused(std::uint64_t request) const;
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -109,6 +109,7 @@
         return;
     }
     if (m_context.crashes.refused(m_fingerprint)) {
+        logCrashRefusal(m_requestId, m_fingerprint, m_context.crashes.crashes(m_fingerprint));
         fail(now, badGateway, "crashes-upstreams");
         return;
     }
@@ -204,6 +205,8 @@
     if (outcome == fleet::AttemptOutcome::Unreachable) {
         for (const std::uint64_t suspect : m_context.crashes.recordUnreachable(now, key)) {
             m_context.crashes.recordCrash(now, suspect, key);
+            m_context.metrics.countCrash("own");
+            logCrash(suspect, key, m_context.crashes.crashes(suspect), "own");
             m_context.broadcast(fleet::CrashNotice{suspect, key});
         }
     }
@@ -215,7 +218,7 @@
     const AnswerClassification classification = attempt.result().classification;
     recordOutcome(now, attempt, classification.outcome);
     m_context.metrics.countAttempt(m_service.value, classification.reason);
-    logAttempt(m_requestId, m_service, attempt, now);
+    logAttempt(m_requestId, m_service, attempt, m_fingerprint, now);
     const auto position = std::find_if(m_attempts.begin(), m_attempts.end(), [&attempt](const auto &other) {
         return other.get() == &attempt;
     });
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -1,5 +1,6 @@
 // Gateway: messages between instances.
 #include "proxy/gateway.h"
+#include "proxy/proxylog.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -193,6 +194,8 @@
         m_context.upstreams.applyMisdirectedNotice(now, *misdirected);
     } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
         m_context.crashes.recordCrash(now, crash->request, crash->key);
+        m_context.metrics.countCrash("other-instance");
+        logCrash(crash->request, crash->key, m_context.crashes.crashes(crash->request), datagram.from.id.value);
     } else if (const auto *notice = std::get_if<fleet::StoreNotice>(&datagram.message)) {
         const auto address = settings::parseEndpoint(m_membership.addressOf(datagram.from));
         if (address.has_value()) {
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/log.h"
 
+#include <cinttypes>
 #include <cstdio>
 
 namespace jackdawdoor::proxy {
@@ -17,6 +18,14 @@
     return {text, static_cast<std::size_t>(length)};
 }
 
+/** Lower-case hexadecimal text of fixed width. */
+std::string hexadecimal(std::uint64_t value)
+{
+    char text[17];
+    const int length = std::snprintf(text, sizeof(text), "%016" PRIx64, value);
+    return {text, static_cast<std::size_t>(length)};
+}
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -45,18 +54,38 @@
                          {"attempt", std::to_string(attempt)}});
 }
 
-void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, TimePoint now)
+void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, std::uint64_t fingerprint, TimePoint now)
 {
     const AttemptResult &result = attempt.result();
-    telemetry::writeLog(LogLevel::Info,
-                        "end attempt",
-                        result.classification.reason,
-                        {{"request", requestId},
-                         {"service", service.value},
-                         {"upstream", attempt.upstream().id.value},
-                         {"status", std::to_string(result.head.status)},
-                         {"new-connection", result.newConnection ? "yes" : "no"},
-                         {"ms", milliseconds(attempt.age(now))}});
+    telemetry::LogFields fields{{"request", requestId},
+                                {"service", service.value},
+                                {"upstream", attempt.upstream().id.value},
+                                {"status", std::to_string(result.head.status)},
+                                {"new-connection", result.newConnection ? "yes" : "no"},
+                                {"ms", milliseconds(attempt.age(now))}};
+    if (result.classification.end == routing::AttemptEnd::Broken) {
+        fields.emplace_back("fingerprint", hexadecimal(fingerprint));
+    }
+    telemetry::writeLog(LogLevel::Info, "end attempt", result.classification.reason, fields);
+}
+
+void logCrash(std::uint64_t fingerprint, std::uint32_t upstream, std::size_t crashes, const std::string &source)
+{
+    telemetry::writeLog(LogLevel::Warning,
+                        "record crash",
+                        "an upstream ended while it ran this request",
+                        {{"fingerprint", hexadecimal(fingerprint)},
+                         {"upstream-key", std::to_string(upstream)},
+                         {"crashes", std::to_string(crashes)},
+                         {"source", source}});
+}
+
+void logCrashRefusal(const std::string &requestId, std::uint64_t fingerprint, std::size_t crashes)
+{
+    telemetry::writeLog(LogLevel::Warning,
+                        "refuse request",
+                        "it crashes upstreams",
+                        {{"request", requestId}, {"fingerprint", hexadecimal(fingerprint)}, {"crashes", std::to_string(crashes)}});
 }
 
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took)
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -16,8 +16,15 @@
                const routing::RouteTable &table,
                int attempt);
 
-/** Logs the end of an attempt. */
-void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, TimePoint now);
+/** Logs the end of an attempt. fingerprint: of the request, logged if the connection ended without an answer. */
+void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, std::uint64_t fingerprint, TimePoint now);
+
+/** Logs that a request probably crashed an upstream. crashes: of that request so far. source: who found it, "own" or an
+ * instance. */
+void logCrash(std::uint64_t fingerprint, std::uint32_t upstream, std::size_t crashes, const std::string &source);
+
+/** Logs that a request is not sent because it crashes upstreams. */
+void logCrashRefusal(const std::string &requestId, std::uint64_t fingerprint, std::size_t crashes);
 
 /** Logs the final answer of a request. route may be nullptr; status 0 means that the connection ended without an answer. */
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took);
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -24,6 +24,8 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests = counter(registry, "jackdawdoor_requests_total", "Requests by outcome");
     prometheus::Family<prometheus::Counter> &attempts = counter(registry, "jackdawdoor_attempts_total", "Attempts by service and end");
+    prometheus::Family<prometheus::Counter> &crashes =
+        counter(registry, "jackdawdoor_upstream_crashes_total", "Crashes of upstreams by a request, by source of the finding");
     prometheus::Family<prometheus::Counter> &storeCalls =
         counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
@@ -53,6 +55,11 @@
     m_families->attempts.Add({{"service", std::string(service)}, {"end", std::string(reason)}}).Increment();
 }
 
+void ProxyMetrics::countCrash(std::string_view source)
+{
+    m_families->crashes.Add({{"source", std::string(source)}}).Increment();
+}
+
 void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
 {
     m_families->storeCalls.Add({{"call", std::string(call)}, {"result", succeeded ? "answered" : "failed"}}).Increment();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -24,6 +24,9 @@
     /** Counts an ended attempt. */
     void countAttempt(std::string_view service, std::string_view reason);
 
+    /** Counts a crash of an upstream by a request. source: who found it, "own" or "other-instance". */
+    void countCrash(std::string_view source);
+
     /** Counts an ended call to the store. */
     void countStoreCall(std::string_view call, bool succeeded);
 
