--- a/test/standins/scriptedupstream.cpp
+++ b/test/standins/scriptedupstream.cpp
@@ -1,5 +1,6 @@
 #include "standins/scriptedupstream.h"
 
+#include "net/eventloop.h"
 #include "net/httpmessage.h"
 
 #include <arpa/inet.h>
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 #include <string_view>
+#include <utility>
 
 namespace jackdawdoor::standins {
 
@@ -44,6 +46,13 @@
     return true;
 }
 
+/** Makes close() reset the connection instead of ending it in an orderly way. */
+void resetOnClose(int socket)
+{
+    const linger immediately{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+}
+
 } // namespace
 
 std::string ReceivedRequest::header(const std::string &name) const
@@ -53,16 +62,8 @@
 
 ScriptedUpstream::ScriptedUpstream(Script script)
     : m_script(std::move(script))
-    , m_listener(socket(AF_INET, SOCK_STREAM, 0))
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    static_cast<void>(bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    listen(m_listener, 64);
-    socklen_t length = sizeof(address);
-    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
-    m_port = ntohs(address.sin_port);
+    openListener();
     m_acceptor = std::thread([this] {
         acceptAll();
     });
@@ -75,7 +76,36 @@
     for (std::thread &thread : m_threads) {
         thread.join();
     }
-    close(m_listener);
+    if (m_listener >= 0) {
+        close(m_listener);
+    }
+}
+
+void ScriptedUpstream::openListener()
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(m_port));
+    if (bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        close(listener);
+        return; // another socket has the port for a moment; the acceptor tries again
+    }
+    listen(listener, 64);
+    if (m_port == 0) {
+        socklen_t length = sizeof(address);
+        getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+    }
+    m_listener = listener;
+}
+
+bool ScriptedUpstream::crashed() const
+{
+    return net::now().time_since_epoch().count() < m_downUntil;
 }
 
 std::string ScriptedUpstream::address() const
@@ -113,8 +143,13 @@
 void ScriptedUpstream::acceptAll()
 {
     while (!m_stopping) {
+        if (crashed() && m_listener >= 0) {
+            close(std::exchange(m_listener, -1));
+        } else if (!crashed() && m_listener < 0) {
+            openListener();
+        }
         pollfd waiting{m_listener, POLLIN, 0};
-        if (poll(&waiting, 1, pollMilliseconds) > 0) {
+        if (poll(&waiting, 1, pollMilliseconds) > 0 && !crashed()) {
             const int socket = accept(m_listener, nullptr, nullptr);
             const std::lock_guard lock(m_mutex);
             m_threads.emplace_back([this, socket] {
@@ -128,9 +163,15 @@
 {
     std::string input;
     bool hanging = false;
+    const int crashesBefore = m_crashes;
     while (!m_stopping) {
         pollfd waiting{socket, POLLIN, 0};
-        if (poll(&waiting, 1, pollMilliseconds) <= 0) {
+        const int ready = poll(&waiting, 1, pollMilliseconds);
+        if (m_crashes != crashesBefore) {
+            resetOnClose(socket);
+            break;
+        }
+        if (ready <= 0) {
             continue;
         }
         char buffer[65536];
@@ -162,9 +203,15 @@
         if (reply.hang) {
             continue;
         }
+        if (reply.crashFor > Duration::zero()) {
+            m_downUntil = (net::now() + reply.crashFor).time_since_epoch().count();
+            ++m_crashes;
+            // The listener must be closed first: a process that ends refuses connections by the time its peers see the reset.
+            std::this_thread::sleep_for(std::chrono::milliseconds{2 * pollMilliseconds});
+            continue;
+        }
         if (reply.resetAfter) {
-            const linger immediately{1, 0};
-            setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+            resetOnClose(socket);
         }
         bool sent = sendAll(socket, reply.bytes);
         if (sent && !reply.rest.empty()) {
--- a/test/standins/scriptedupstream.h
+++ b/test/standins/scriptedupstream.h
@@ -24,6 +24,7 @@
     std::string rest = {}; ///< sent after restDelay
     Duration restDelay = {};
     std::string repeated = {}; ///< sent after the rest, again and again until the peer closes the connection
+    Duration crashFor = {}; ///< resets all connections and refuses new ones for this long, like a process that ends and restarts
 };
 
 /** Request as received. */
@@ -66,8 +67,10 @@
     static std::string answerTo(const ReceivedRequest &request, int status, const std::string &body);
 
 private:
+    void openListener();
     void acceptAll();
     void serve(int socket);
+    bool crashed() const;
 
     Script m_script;
     std::mutex m_mutex;
@@ -78,8 +81,10 @@
     std::atomic<int> m_abandoned{0};
     std::atomic<std::uint64_t> m_repeatedBytes{0};
     std::atomic<int> m_repeatedEnds{0};
-    int m_listener = -1;
-    int m_port = 0;
+    std::atomic<int> m_crashes{0};
+    std::atomic<TimePoint::rep> m_downUntil{0}; ///< end of the latest crash
+    int m_listener = -1; ///< -1 while crashed
+    int m_port = 0; ///< zero until the first listener is open
     std::thread m_acceptor;
 };
 
