Recognise requests that crash upstreams, and keep them away from the rest

Cause: the proof of a crash had two halves, a broken connection and a refused one, and one instance had to see both within 1.5 s. But a broken connection makes every instance avoid that upstream, so nobody came to see the second half. Besides, the fingerprint contained the query, which may differ in a repeat; a finding was sent once and never again, so an instance that started later did not have it; and it was looked up on arrival only, not before a retry or a hedge. The class of fault: evidence that is taken only from traffic which the first half of the evidence turns away.

Change: an instance whose connection was broken, or that had no answer in time, checks at once whether the upstream still accepts connections; an entry that is replaced or removed within 8 s proves an end as well. Crashes are kept under two identities, with and without the query. New findings go to all instances in paced messages, the latest again and again to a random one; records merge in any order. Any complete answer acquits a request. After 20 s, doubled by each further crash, one attempt is allowed, so an innocent request is not refused for long. Every attempt passes the check: first, retry, hedge, after a wait. After two broken connections a retry waits 0.3 s for the proof.

Ruled out: crashes without proof after three broken connections (a gray upstream that resets would make requests suspect); the path as the only identity (many requests may share it).

Older instances reject the new message as malformed and go on as before; their notices are still read.

--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -1,16 +1,32 @@
 #include "fleet/crashtracker.h"
 
+#include <algorithm>
+
 namespace jackdawdoor::fleet {
 
 namespace {
 
 /** An upstream found unreachable within this time after breaking a connection counts as crashed. */
-constexpr Duration crashWindow = std::chrono::milliseconds{1500};
+constexpr Duration unreachableWindow = std::chrono::milliseconds{1500};
+/** The same for an upstream whose entry is removed, which takes three missed reports of 1.5 s and a read of the store. */
+constexpr Duration removalWindow = std::chrono::seconds{8};
 /** Crashes are remembered this long, because callers keep retrying the request for a while. */
-constexpr Duration crashEntryLifetime = std::chrono::minutes{5};
+constexpr Duration recordLifetime = std::chrono::minutes{5};
+/** A request is refused for this long after the crash of maximumCrashes upstreams. */
+constexpr Duration initialRefusalTime = std::chrono::seconds{20};
+/** Share of the refusal time by which that of two instances may differ. */
+constexpr double refusalSpread = 0.5;
+/** Bounds of the memory and of a message. */
+constexpr std::size_t maximumRecords = 2000;
+constexpr std::size_t maximumUpstreamsPerRecord = 16;
 
 } // namespace
 
+CrashTracker::CrashTracker(double spread)
+    : m_spread(spread)
+{
+}
+
 void CrashTracker::recordBrokenConnection(TimePoint now, std::uint64_t request, std::uint32_t upstream)
 {
     m_brokenConnections.emplace(upstream, BrokenConnection{now, request});
@@ -18,42 +34,159 @@
 
 std::vector<std::uint64_t> CrashTracker::recordUnreachable(TimePoint now, std::uint32_t upstream)
 {
-    std::vector<std::uint64_t> suspects;
+    return charge(now, upstream, unreachableWindow);
+}
+
+std::vector<std::uint64_t> CrashTracker::recordRemoved(TimePoint now, std::uint32_t upstream)
+{
+    return charge(now, upstream, removalWindow);
+}
+
+std::vector<std::uint64_t> CrashTracker::charge(TimePoint now, std::uint32_t upstream, Duration window)
+{
+    std::vector<std::uint64_t> charged;
     const auto [first, last] = m_brokenConnections.equal_range(upstream);
     for (auto entry = first; entry != last; ++entry) {
-        if (now - entry->second.at <= crashWindow) {
-            suspects.push_back(entry->second.request);
+        if (now - entry->second.at > window) {
+            continue;
+        }
+        Charges &charges = m_charges[entry->second.request];
+        if (charges.upstreams.size() < maximumUpstreamsPerRecord && charges.upstreams.insert(upstream).second) {
+            charged.push_back(entry->second.request);
+            onChange(now, charges);
         }
     }
     m_brokenConnections.erase(first, last);
-    return suspects;
+    if (m_charges.size() > maximumRecords) {
+        removeOldest();
+    }
+    return charged;
+}
+
+Duration CrashTracker::refusalTime(std::size_t crashes) const
+{
+    Duration time = initialRefusalTime;
+    for (std::size_t count = maximumCrashes; count < crashes && time < recordLifetime; ++count) {
+        time *= 2;
+    }
+    return std::min(recordLifetime, std::chrono::duration_cast<Duration>(time * (1 + refusalSpread * m_spread)));
+}
+
+void CrashTracker::onChange(TimePoint at, Charges &charges) const
+{
+    charges.changed = std::max(charges.changed, at);
+    const std::size_t crashes = charges.upstreams.size();
+    charges.refusedUntil = crashes < maximumCrashes ? TimePoint{} : charges.changed + refusalTime(crashes);
+}
+
+void CrashTracker::removeOldest()
+{
+    const auto oldest = std::min_element(m_charges.begin(), m_charges.end(), [](const auto &first, const auto &second) {
+        return first.second.changed < second.second.changed;
+    });
+    m_charges.erase(oldest);
+}
+
+bool CrashTracker::recordAnswer(TimePoint now, std::uint64_t request)
+{
+    if (m_charges.empty() && m_brokenConnections.empty()) {
+        return false; // the usual case
+    }
+    std::erase_if(m_brokenConnections, [request](const auto &entry) {
+        return entry.second.request == request;
+    });
+    const auto found = m_charges.find(request);
+    if (found == m_charges.end() || found->second.upstreams.empty()) {
+        return false;
+    }
+    found->second.upstreams.clear();
+    ++found->second.acquittals;
+    onChange(now, found->second);
+    return true;
 }
 
-void CrashTracker::recordCrash(TimePoint now, std::uint64_t request, std::uint32_t upstream)
+void CrashTracker::recordAttempt(TimePoint now, std::uint64_t request)
 {
-    Crashes &crashes = m_crashes[request];
-    crashes.last = now;
-    crashes.upstreams.insert(upstream);
+    const auto found = m_charges.find(request);
+    if (found != m_charges.end() && found->second.upstreams.size() >= maximumCrashes) {
+        found->second.refusedUntil = now + refusalTime(found->second.upstreams.size());
+    }
+}
+
+bool CrashTracker::merge(TimePoint now, const CrashRecord &record)
+{
+    const auto known = m_charges.find(record.request);
+    const bool outdated = known != m_charges.end() && record.acquittals < known->second.acquittals;
+    if (outdated || record.age < Duration::zero() || record.age > recordLifetime) {
+        return false;
+    }
+    Charges &charges = m_charges[record.request];
+    bool changed = record.acquittals > charges.acquittals;
+    if (changed) {
+        charges.acquittals = record.acquittals;
+        charges.upstreams.clear();
+    }
+    for (const std::uint32_t upstream : record.upstreams) {
+        if (charges.upstreams.size() < maximumUpstreamsPerRecord) {
+            changed = charges.upstreams.insert(upstream).second || changed;
+        }
+    }
+    if (changed) {
+        onChange(now - record.age, charges);
+    }
+    if (m_charges.size() > maximumRecords) {
+        removeOldest();
+    }
+    return changed;
+}
+
+bool CrashTracker::refused(TimePoint now, std::uint64_t request) const
+{
+    const auto found = m_charges.find(request);
+    return found != m_charges.end() && now < found->second.refusedUntil;
 }
 
 std::size_t CrashTracker::crashes(std::uint64_t request) const
 {
-    const auto found = m_crashes.find(request);
-    return found == m_crashes.end() ? 0 : found->second.upstreams.size();
+    const auto found = m_charges.find(request);
+    return found == m_charges.end() ? 0 : found->second.upstreams.size();
+}
+
+CrashRecord CrashTracker::toRecord(TimePoint now, std::uint64_t request, const Charges &charges)
+{
+    return {request, charges.acquittals, now - charges.changed, {charges.upstreams.begin(), charges.upstreams.end()}};
+}
+
+CrashRecord CrashTracker::record(TimePoint now, std::uint64_t request) const
+{
+    const auto found = m_charges.find(request);
+    return found == m_charges.end() ? CrashRecord{request, 0, {}, {}} : toRecord(now, request, found->second);
 }
 
-bool CrashTracker::refused(std::uint64_t request) const
+std::vector<CrashRecord> CrashTracker::records(TimePoint now, std::size_t maximum) const
 {
-    return crashes(request) >= maximumCrashes;
+    std::vector<CrashRecord> all;
+    all.reserve(m_charges.size());
+    for (const auto &[request, charges] : m_charges) {
+        all.push_back(toRecord(now, request, charges));
+    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(maximum, all.size()));
+    std::partial_sort(all.begin(), all.begin() + count, all.end(), [](const CrashRecord &first, const CrashRecord &second) {
+        const bool firstRefused = first.upstreams.size() >= maximumCrashes;
+        const bool secondRefused = second.upstreams.size() >= maximumCrashes;
+        return firstRefused != secondRefused ? firstRefused : first.age < second.age;
+    });
+    all.resize(static_cast<std::size_t>(count));
+    return all;
 }
 
 void CrashTracker::expire(TimePoint now)
 {
     std::erase_if(m_brokenConnections, [now](const auto &entry) {
-        return now - entry.second.at > crashWindow;
+        return now - entry.second.at > removalWindow;
     });
-    std::erase_if(m_crashes, [now](const auto &entry) {
-        return now - entry.second.last > crashEntryLifetime;
+    std::erase_if(m_charges, [now](const auto &entry) {
+        return now - entry.second.changed > recordLifetime;
     });
 }
 
--- a/src/fleet/crashtracker.h
+++ b/src/fleet/crashtracker.h
@@ -1,7 +1,13 @@
-/** Detection of requests that crash upstreams.
+/** Detection of requests that crash the upstreams that run them.
  *
- * A request is suspected of a crash if an upstream broke the connection while running it and could not be reached shortly
- * afterwards. A request suspected of crashing several upstreams, as seen by any instances of the fleet, is refused.
+ * An upstream counts as crashed by a request if it ended the connection, or did not answer in time, while it was running the
+ * request, and its process had ended: it refused connections shortly afterwards, or its entry was replaced or removed. Other
+ * requests that were in progress there are charged as well; the first complete answer to one of them acquits it.
+ *
+ * A request that has crashed several upstreams is refused for a time that doubles with each further crash. Then a single
+ * attempt is allowed, so that a request that was in progress during unrelated crashes is not refused for long.
+ *
+ * Instances exchange their records. Merging is commutative and idempotent, so a lost, late or repeated record does no harm.
  */
 #pragma once
 
@@ -10,7 +16,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace jackdawdoor::fleet {
@@ -18,27 +23,56 @@
 /** A request is refused after crashes of this many upstreams. */
 constexpr std::size_t maximumCrashes = 2;
 
-/** Tracks suspected crashes reported by this and other instances. */
+/** Crashes by one request, as exchanged between instances. */
+struct CrashRecord {
+    std::uint64_t request = 0; ///< one identity of its fingerprint, see RequestFingerprint
+    std::uint32_t acquittals = 0; ///< the crashes are those since this acquittal; a record with more of them is newer
+    Duration age{}; ///< time since the last change
+    std::vector<std::uint32_t> upstreams; ///< crashed upstreams, see upstreamKey
+
+    bool operator==(const CrashRecord &) const = default;
+};
+
+/** Crashes known to one instance. */
 class CrashTracker
 {
 public:
-    /** Records that the upstream broke the connection while it was running the request. */
+    /** spread: from 0 to 1. The time for which this instance refuses a request grows by up to half with it, so that the
+     * attempts that instances allow afterwards do not coincide. */
+    explicit CrashTracker(double spread = 0);
+
+    /** Records that the upstream left the request without an answer. */
     void recordBrokenConnection(TimePoint now, std::uint64_t request, std::uint32_t upstream);
 
-    /** Records that the upstream could not be reached. Returns the requests whose connections it broke shortly before, which
-     * may have crashed it. */
+    /** Records that the upstream refuses connections. Returns the requests that are charged with the crash. */
     std::vector<std::uint64_t> recordUnreachable(TimePoint now, std::uint32_t upstream);
 
-    /** Records that the request crashed the upstream, as detected by this or another instance. */
-    void recordCrash(TimePoint now, std::uint64_t request, std::uint32_t upstream);
+    /** Records that the upstream's entry was replaced or removed. Returns the requests that are charged with the crash. */
+    std::vector<std::uint64_t> recordRemoved(TimePoint now, std::uint32_t upstream);
+
+    /** Records that an upstream answered the request completely. Returns true if the request was charged with a crash, so that
+     * other instances should be told. */
+    bool recordAnswer(TimePoint now, std::uint64_t request);
+
+    /** Records an attempt of the request. If it was refused before, it is refused again for the same time. */
+    void recordAttempt(TimePoint now, std::uint64_t request);
+
+    /** Merges a record of another instance. Returns true if it contained something new. */
+    bool merge(TimePoint now, const CrashRecord &record);
+
+    /** Returns true if the request must not be run now. */
+    bool refused(TimePoint now, std::uint64_t request) const;
 
     /** Returns the number of upstreams that the request is known to have crashed. */
     std::size_t crashes(std::uint64_t request) const;
 
-    /** Returns true if the request must not be run again. */
-    bool refused(std::uint64_t request) const;
+    /** Returns the record of a request, or one without content. */
+    CrashRecord record(TimePoint now, std::uint64_t request) const;
+
+    /** Returns at most that many records: refused requests first, then the most recently changed. */
+    std::vector<CrashRecord> records(TimePoint now, std::size_t maximum) const;
 
-    /** Removes expired entries. */
+    /** Removes outdated records. */
     void expire(TimePoint now);
 
 private:
@@ -46,13 +80,22 @@
         TimePoint at{};
         std::uint64_t request = 0;
     };
-    struct Crashes {
-        TimePoint last{};
+    struct Charges {
+        TimePoint changed{};
+        TimePoint refusedUntil{};
+        std::uint32_t acquittals = 0;
         std::set<std::uint32_t> upstreams;
     };
 
+    std::vector<std::uint64_t> charge(TimePoint now, std::uint32_t upstream, Duration window);
+    void onChange(TimePoint at, Charges &charges) const;
+    Duration refusalTime(std::size_t crashes) const;
+    void removeOldest();
+    static CrashRecord toRecord(TimePoint now, std::uint64_t request, const Charges &charges);
+
+    double m_spread;
     std::multimap<std::uint32_t, BrokenConnection> m_brokenConnections; ///< by upstream
-    std::map<std::uint64_t, Crashes> m_crashes; ///< by request
+    std::map<std::uint64_t, Charges> m_charges; ///< by request
 };
 
 } // namespace jackdawdoor::fleet
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -46,6 +46,15 @@
     return json::array({notice.request, notice.key});
 }
 
+json encodePayload(const CrashReport &report)
+{
+    json out = json::array();
+    for (const CrashRecord &record : report.records) {
+        out.push_back(json::array({record.request, record.acquittals, record.age.count(), record.upstreams}));
+    }
+    return out;
+}
+
 json encodePayload(const StoreNotice &notice)
 {
     return json::array({notice.configurationVersion, notice.catalogue, notice.age.count()});
@@ -116,6 +125,18 @@
     return delta;
 }
 
+CrashReport decodeCrashReport(const json &in)
+{
+    CrashReport report;
+    for (const json &record : in) {
+        report.records.push_back({record.at(0).get<std::uint64_t>(),
+                                  record.at(1).get<std::uint32_t>(),
+                                  Duration{record.at(2).get<Duration::rep>()},
+                                  record.at(3).get<std::vector<std::uint32_t>>()});
+    }
+    return report;
+}
+
 membership::MembershipMessage decodeMembership(const json &in)
 {
     switch (in.at(0).get<std::size_t>()) {
@@ -143,8 +164,10 @@
         return decodeDelta(in);
     case 5:
         return MisdirectedNotice{in.at(0).get<std::uint32_t>()};
-    default:
+    case 6:
         return decodeMembership(in);
+    default:
+        return decodeCrashReport(in);
     }
 }
 
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "fleet/crashtracker.h"
 #include "fleet/upstreamcatalogue.h"
 #include "membership/membershipmessage.h"
 
@@ -72,7 +73,7 @@
     bool operator==(const MisdirectedNotice &) const = default;
 };
 
-/** Reports that a request may have crashed an upstream. */
+/** Reports that a request may have crashed an upstream. Received from instances of earlier versions only. */
 struct CrashNotice {
     std::uint64_t request = 0; ///< fingerprint of method, target and body
     std::uint32_t key = 0; ///< see upstreamKey
@@ -80,6 +81,13 @@
     bool operator==(const CrashNotice &) const = default;
 };
 
+/** Reports what the sender knows of requests that crash upstreams. */
+struct CrashReport {
+    std::vector<CrashRecord> records;
+
+    bool operator==(const CrashReport &) const = default;
+};
+
 /** Announces the state of the sender's copy of the store. */
 struct StoreNotice {
     std::uint64_t configurationVersion = 0; ///< zero if there is none
@@ -104,8 +112,14 @@
 void to_json(nlohmann::json &json, const UpstreamEntry &entry);
 void from_json(const nlohmann::json &json, UpstreamEntry &entry);
 
-using FleetMessage =
-    std::variant<LoadReport, UpstreamNotice, CrashNotice, StoreNotice, UpstreamDelta, MisdirectedNotice, membership::MembershipMessage>;
+using FleetMessage = std::variant<LoadReport,
+                                  UpstreamNotice,
+                                  CrashNotice,
+                                  StoreNotice,
+                                  UpstreamDelta,
+                                  MisdirectedNotice,
+                                  membership::MembershipMessage,
+                                  CrashReport>;
 
 /** A message with its sender. */
 struct FleetDatagram {
--- /dev/null
+++ b/src/fleet/messagepacer.cpp
@@ -0,0 +1,29 @@
+#include "fleet/messagepacer.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::fleet {
+
+MessagePacer::MessagePacer(Duration minimumPeriod)
+    : m_minimumPeriod(minimumPeriod)
+    , m_period(minimumPeriod)
+{
+}
+
+void MessagePacer::setReceivers(std::size_t receivers)
+{
+    const double seconds = static_cast<double>(receivers) / maximumDatagramsPerSecond;
+    m_period = std::max(m_minimumPeriod, fromSeconds(seconds));
+}
+
+Duration MessagePacer::timeUntilDue(TimePoint now) const
+{
+    return std::max(Duration::zero(), m_sentAt + m_period - now);
+}
+
+void MessagePacer::recordSent(TimePoint now)
+{
+    m_sentAt = now;
+}
+
+} // namespace jackdawdoor::fleet
--- a/src/fleet/noticequeue.cpp
+++ b/src/fleet/noticequeue.cpp
@@ -1,13 +1,10 @@
 #include "fleet/noticequeue.h"
 
-#include <algorithm>
-
 namespace jackdawdoor::fleet {
 
 void NoticeQueue::setReceivers(std::size_t receivers)
 {
-    const double seconds = static_cast<double>(receivers) / maximumDatagramsPerSecond;
-    m_period = std::max(minimumPeriod, fromSeconds(seconds));
+    m_pacer.setReceivers(receivers);
 }
 
 void NoticeQueue::add(const NoticeItem &item)
@@ -25,7 +22,7 @@
 
 Duration NoticeQueue::timeUntilDue(TimePoint now) const
 {
-    return m_waiting.empty() ? Duration::max() : std::max(Duration::zero(), m_sentAt + m_period - now);
+    return m_waiting.empty() ? Duration::max() : m_pacer.timeUntilDue(now);
 }
 
 UpstreamNotice NoticeQueue::take(TimePoint now)
@@ -35,7 +32,7 @@
         notice.items.push_back(item);
     }
     m_waiting.clear();
-    m_sentAt = now;
+    m_pacer.recordSent(now);
     return notice;
 }
 
--- a/src/fleet/noticequeue.h
+++ b/src/fleet/noticequeue.h
@@ -1,12 +1,12 @@
 /** Collects notices about upstreams, so that many events in a short time become one message.
  *
- * The first event after a quiet period is sent at once; later ones wait until the period has passed. This bounds the messages
- * that an instance sends and receives while a whole service fails, without a delay in the normal case.
+ * This bounds the messages that an instance sends and receives while a whole service fails, without a delay in the normal case.
  */
 #pragma once
 
 #include "base/time.h"
 #include "fleet/fleetmessage.h"
+#include "fleet/messagepacer.h"
 
 #include <cstddef>
 #include <map>
@@ -14,16 +14,13 @@
 namespace jackdawdoor::fleet {
 
 /** Minimum time between two messages. A gray upstream fails in a few milliseconds. */
-constexpr Duration minimumPeriod = std::chrono::milliseconds{20};
-/** Datagrams that one queue may cause in a second. */
-constexpr int maximumDatagramsPerSecond = 2000;
+constexpr Duration minimumNoticePeriod = std::chrono::milliseconds{20};
 
 /** Queue of one instance's notices to one group of receivers. */
 class NoticeQueue
 {
 public:
-    /** Sets the number of receivers of a message. The minimum time between two messages grows with it, so that the
-     * datagrams sent in a second stay bounded. */
+    /** Sets the number of receivers of a message. */
     void setReceivers(std::size_t receivers);
 
     /** Adds the events to those that wait. */
@@ -39,8 +36,7 @@
     UpstreamNotice take(TimePoint now);
 
 private:
-    Duration m_period = minimumPeriod;
-    TimePoint m_sentAt{};
+    MessagePacer m_pacer{minimumNoticePeriod};
     std::map<std::uint32_t, NoticeItem> m_waiting;
 };
 
--- /dev/null
+++ b/src/fleet/requestfingerprint.cpp
@@ -0,0 +1,18 @@
+#include "fleet/requestfingerprint.h"
+
+#include "base/stablehash.h"
+
+namespace jackdawdoor::fleet {
+
+std::vector<std::uint64_t> RequestFingerprint::identities() const
+{
+    return exact == path ? std::vector{path} : std::vector{path, exact};
+}
+
+RequestFingerprint fingerprintOf(std::string_view host, std::string_view method, std::string_view target, std::string_view body)
+{
+    const std::uint64_t rest = stableHash(body, stableHash(method, stableHash(host)));
+    return {stableHash(target, rest), stableHash(target.substr(0, target.find('?')), rest)};
+}
+
+} // namespace jackdawdoor::fleet
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -30,9 +30,13 @@
     return static_cast<std::uint32_t>(stableHash(id.value, static_cast<std::uint64_t>(incarnation)));
 }
 
-void UpstreamTable::setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries)
+std::vector<std::uint32_t> UpstreamTable::setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries)
 {
     std::map<UpstreamId, UpstreamRecord> records;
+    std::map<std::uint32_t, UpstreamStatus> before;
+    for (const auto &[id, record] : m_records) {
+        before.emplace(record.key, record.entry.status);
+    }
     for (const UpstreamEntry &entry : entries) {
         const auto known = m_records.find(entry.id);
         UpstreamRecord record;
@@ -51,6 +55,7 @@
             record.coldUntil = now + entry.warmupLeft;
         }
         record.entry = entry;
+        before.erase(record.key);
         records.emplace(entry.id, std::move(record));
     }
     m_records = std::move(records);
@@ -60,6 +65,13 @@
         m_byService[record.entry.service].push_back(&record);
         m_byKey[record.key] = &record;
     }
+    std::vector<std::uint32_t> gone;
+    for (const auto &[key, status] : before) {
+        if (status == UpstreamStatus::Ready) {
+            gone.push_back(key);
+        }
+    }
+    return gone;
 }
 
 const std::vector<UpstreamRecord *> &UpstreamTable::ofService(const ServiceId &service) const
@@ -120,14 +132,21 @@
         record.unusableUntil = now + misdirectedBackoff;
         return;
     case AttemptOutcome::Unreachable:
-        recordUnreachable(now, record);
+        backOff(now, record);
         return;
     case AttemptOutcome::Abandoned:
         return;
     }
 }
 
-void UpstreamTable::recordUnreachable(TimePoint now, UpstreamRecord &record)
+void UpstreamTable::recordUnreachable(TimePoint now, const UpstreamId &id, std::int64_t incarnation)
+{
+    if (UpstreamRecord *record = find(id, incarnation)) {
+        backOff(now, *record);
+    }
+}
+
+void UpstreamTable::backOff(TimePoint now, UpstreamRecord &record)
 {
     const int doublings = std::min(record.consecutiveUnreachable, maximumBackoffDoublings);
     record.unusableUntil = now + unreachableBackoff * (1 << doublings);
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -56,8 +56,9 @@
 class UpstreamTable
 {
 public:
-    /** Replaces the set of upstreams. Records of upstreams whose incarnation is unchanged are kept. */
-    void setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries);
+    /** Replaces the set of upstreams. Records of upstreams whose incarnation is unchanged are kept. Returns the keys of those
+     * that are gone although they did not report that they leave. */
+    std::vector<std::uint32_t> setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries);
 
     /** Returns the upstreams of a service, sorted by id; empty if the service is unknown. */
     const std::vector<UpstreamRecord *> &ofService(const ServiceId &service) const;
@@ -75,6 +76,9 @@
     /** Records that an attempt is overdue, which counts as a failure. Must be called at most once per attempt. */
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
+    /** Records that the upstream accepts no connections, found without an attempt of a request. */
+    void recordUnreachable(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
+
     /** Applies failures seen, and requests sent, by another instance. */
     void applyNotice(TimePoint now, const UpstreamNotice &notice);
 
@@ -102,7 +106,7 @@
 
     void applyLoad(const PeerLoad &load, int sign);
     void applyOutcome(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration duration);
-    void recordUnreachable(TimePoint now, UpstreamRecord &record);
+    static void backOff(TimePoint now, UpstreamRecord &record);
     UpstreamRecord *findKey(std::uint32_t key);
 
     std::map<UpstreamId, UpstreamRecord> m_records;
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -116,6 +116,7 @@
     m_result.classification = {unsent ? routing::AttemptEnd::Unreachable : routing::AttemptEnd::Broken,
                                unsent ? fleet::AttemptOutcome::Unreachable : fleet::AttemptOutcome::Failed,
                                failureName(failure)};
+    m_result.connectionLost = failure == ConnectionFailure::Reset;
     m_pool.drop(m_upstream);
     m_hooks.onEnd(*this);
 }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -28,6 +28,7 @@
     std::string body;
     Duration took{};
     bool newConnection = false;
+    bool connectionLost = false; ///< the upstream closed or reset the connection before the end of the answer
 };
 
 /** Runs on one loop. Destroying an unfinished attempt closes its connection, which makes the upstream cancel the request. */
--- /dev/null
+++ b/src/proxy/connectioncheck.h
@@ -0,0 +1,48 @@
+/** Checks whether upstreams still accept connections.
+ *
+ * After an upstream has ended a connection in the middle of a request, other requests avoid it, so none of them would tell
+ * whether its process has ended. A check opens a connection and closes it again; it sends nothing.
+ */
+#pragma once
+
+#include "fleet/upstreamentry.h"
+#include "net/eventloop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+
+namespace jackdawdoor::proxy {
+
+/** Runs checks, at most one at a time for each address and at most one in a second. Used on one loop. */
+class ConnectionChecks
+{
+public:
+    /** Called when the upstream refused the connection or did not accept it in time. */
+    using OnUnreachable = std::function<void(const fleet::UpstreamEntry &)>;
+
+    ConnectionChecks(net::EventLoop &loop, OnUnreachable onUnreachable);
+    ~ConnectionChecks();
+    ConnectionChecks(const ConnectionChecks &) = delete;
+    ConnectionChecks &operator=(const ConnectionChecks &) = delete;
+
+    /** Starts a check, unless one is running or has just been made. */
+    void start(TimePoint now, const fleet::UpstreamEntry &upstream);
+
+    /** Forgets old checks. */
+    void expire(TimePoint now);
+
+private:
+    class Check;
+
+    void finish(Check &check, bool accepted);
+
+    net::EventLoop &m_loop;
+    OnUnreachable m_onUnreachable;
+    std::map<std::string, std::unique_ptr<Check>> m_checks; ///< by address
+};
+
+} // namespace jackdawdoor::proxy
--- /dev/null
+++ b/src/proxy/crashdetector.h
@@ -0,0 +1,80 @@
+/** Finds requests that crash upstreams, together with the other instances.
+ *
+ * Connects fleet::CrashTracker, which decides, with its evidence and with the other instances: a new finding is sent to all of
+ * them at once, and the latest findings go to a randomly chosen one again and again. The repeats reach instances that were
+ * started, cut off or paused meanwhile, or missed a datagram.
+ */
+#pragma once
+
+#include "base/random.h"
+#include "fleet/crashtracker.h"
+#include "fleet/fleetmessage.h"
+#include "fleet/messagepacer.h"
+#include "fleet/requestfingerprint.h"
+#include "proxy/connectioncheck.h"
+#include "proxy/proxymetrics.h"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdawdoor::proxy {
+
+/** Callbacks to the owner. */
+struct CrashDetectorHooks {
+    std::function<void(const fleet::FleetMessage &)> broadcast; ///< to all live instances
+    std::function<void(const fleet::FleetMessage &)> sendToRandom; ///< to a random live instance
+    std::function<void(const fleet::UpstreamEntry &)> onUnreachable; ///< a check found that the upstream accepts no connection
+};
+
+/** Crash detection of one instance. Used on its loop only. */
+class CrashDetector
+{
+public:
+    CrashDetector(net::EventLoop &loop, RandomSource &random, ProxyMetrics &metrics);
+
+    void setHooks(CrashDetectorHooks hooks);
+
+    /** Returns true if the request must not be run now. */
+    bool refused(TimePoint now, const fleet::RequestFingerprint &request) const;
+
+    /** Returns the number of upstreams that the request is known to have crashed. */
+    std::size_t crashes(const fleet::RequestFingerprint &request) const;
+
+    /** An attempt of the request begins. */
+    void onAttempt(TimePoint now, const fleet::RequestFingerprint &request);
+
+    /** The upstream left the request without an answer. Checks whether its process has ended. listed: its entry is still there. */
+    void onUnanswered(TimePoint now, const fleet::RequestFingerprint &request, const fleet::UpstreamEntry &upstream, bool listed);
+
+    /** An upstream answered the request completely. */
+    void onAnswer(TimePoint now, const fleet::RequestFingerprint &request);
+
+    /** The upstream refuses connections. */
+    void onUnreachable(TimePoint now, std::uint32_t upstream);
+
+    /** The entries of these upstreams were replaced or removed. */
+    void onRemoved(TimePoint now, const std::vector<std::uint32_t> &upstreams);
+
+    /** Another instance sent its findings. */
+    void receive(TimePoint now, const fleet::CrashReport &report, const InstanceId &from);
+
+    /** Periodic work. instances: number of live instances. */
+    void tick(TimePoint now, std::size_t instances);
+
+private:
+    void charge(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream);
+    void share(TimePoint now);
+
+    RandomSource &m_random;
+    ProxyMetrics &m_metrics;
+    CrashDetectorHooks m_hooks;
+    fleet::CrashTracker m_tracker;
+    ConnectionChecks m_checks;
+    fleet::MessagePacer m_pacer;
+    std::set<std::uint64_t> m_unshared; ///< requests with a new finding
+    TimePoint m_nextRepeat{};
+};
+
+} // namespace jackdawdoor::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -1,6 +1,5 @@
 #include "proxy/exchange.h"
 
-#include "base/stablehash.h"
 #include "proxy/proxylog.h"
 
 #include <algorithm>
@@ -34,6 +33,9 @@
 /** An attempt is hedged after this multiple of the typical latency, but not before minimumHedgeDelay. */
 constexpr double hedgeLatencyFactor = 2.5;
 constexpr Duration minimumHedgeDelay = std::chrono::milliseconds{600};
+/** After this many lost connections, the next attempt waits until it is known whether the request has crashed the upstreams. */
+constexpr int suspiciousLostConnections = 2;
+constexpr Duration crashProofTime = std::chrono::milliseconds{300};
 
 Duration statedDeadline(const MessageHead &head, const HeaderNames &names)
 {
@@ -99,7 +101,7 @@
         route().latencyObjective > Duration::zero() ? route().latencyObjective / capacityWaitDivisor : defaultCapacityWait;
     m_capacityDeadline = m_request.received + capacityWait;
     m_service = m_context.split.next(route());
-    m_fingerprint = stableHash(m_request.body, stableHash(m_request.head.method + " " + target));
+    m_fingerprint = fleet::fingerprintOf(host, m_request.head.method, target, m_request.body);
     if (m_context.stopping) {
         refuse(now, "stopping");
         return;
@@ -108,11 +110,6 @@
         refuse(now, "no-time-left");
         return;
     }
-    if (m_context.crashes.refused(m_fingerprint)) {
-        logCrashRefusal(m_requestId, m_fingerprint, m_context.crashes.crashes(m_fingerprint));
-        fail(now, badGateway, "crashes-upstreams");
-        return;
-    }
     m_context.budgetOf(m_service).onOriginal(now);
     m_timer.set(m_deadline - now);
     tryAttempt(now);
@@ -135,6 +132,11 @@
 
 void Exchange::tryAttempt(TimePoint now)
 {
+    if (m_context.crashes.refused(now, m_fingerprint)) {
+        logCrashRefusal(m_requestId, m_fingerprint, m_context.crashes.crashes(m_fingerprint));
+        fail(now, badGateway, "crashes-upstreams");
+        return;
+    }
     const fleet::UpstreamChoice choice = choose(now);
     if (choice.upstream == nullptr) {
         waitForCapacity(now, choice);
@@ -169,6 +171,7 @@
     fleet::UpstreamRecord &record = *choice.upstream;
     ++m_attemptCount;
     m_tried.push_back(record.entry.id);
+    m_context.crashes.onAttempt(now, m_fingerprint);
     if (m_context.upstreams.beginAttempt(now, record)) {
         m_context.reportEvents({record.key, 0, 1});
     }
@@ -199,16 +202,21 @@
     if (outcome == fleet::AttemptOutcome::Misdirected) {
         m_context.broadcast(fleet::MisdirectedNotice{key});
     }
-    if (attempt.result().classification.end == routing::AttemptEnd::Broken && outcome == fleet::AttemptOutcome::Failed) {
-        m_context.crashes.recordBrokenConnection(now, m_fingerprint, key);
-    }
-    if (outcome == fleet::AttemptOutcome::Unreachable) {
-        for (const std::uint64_t suspect : m_context.crashes.recordUnreachable(now, key)) {
-            m_context.crashes.recordCrash(now, suspect, key);
-            m_context.metrics.countCrash("own");
-            logCrash(suspect, key, m_context.crashes.crashes(suspect), "own");
-            m_context.broadcast(fleet::CrashNotice{suspect, key});
-        }
+    recordCrashEvidence(now, attempt, outcome);
+}
+
+void Exchange::recordCrashEvidence(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
+{
+    const fleet::UpstreamEntry &upstream = attempt.upstream();
+    const routing::AttemptEnd end = attempt.result().classification.end;
+    const bool timedOut = outcome == fleet::AttemptOutcome::TimedOut && attempt.mayHaveRun();
+    if (attempt.result().connectionLost || timedOut) {
+        const bool listed = m_context.upstreams.find(upstream.id, upstream.incarnation) != nullptr;
+        m_context.crashes.onUnanswered(now, m_fingerprint, upstream, listed);
+    } else if (outcome == fleet::AttemptOutcome::Unreachable) {
+        m_context.crashes.onUnreachable(now, fleet::upstreamKey(upstream.id, upstream.incarnation));
+    } else if (outcome == fleet::AttemptOutcome::Answered || (end == routing::AttemptEnd::FailureAnswer)) {
+        m_context.crashes.onAnswer(now, m_fingerprint);
     }
 }
 
@@ -234,6 +242,7 @@
         }
         return;
     }
+    m_lostConnections += attempt.result().connectionLost ? 1 : 0;
     m_possibleRuns += routing::mayHaveRun(classification.end) ? 1 : 0;
     m_mayHaveRun = m_mayHaveRun || routing::mayHaveRun(classification.end);
     limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
@@ -258,7 +267,7 @@
         if (!unreachable) {
             static_cast<void>(budget.tryRetry(now));
         }
-        tryAttempt(now);
+        retry(now);
         return;
     case routing::NextStep::RefuseNotRun:
         refuse(now, classification.reason);
@@ -269,6 +278,15 @@
     }
 }
 
+void Exchange::retry(TimePoint now)
+{
+    if (m_lostConnections >= suspiciousLostConnections) {
+        m_waitTimer.set(crashProofTime);
+    } else {
+        tryAttempt(now);
+    }
+}
+
 bool Exchange::hedgeDue(TimePoint now) const
 {
     if (!idempotent() || m_attempts.size() != 1 || m_streaming != nullptr || m_attemptCount >= std::max(1, route().maxAttempts)) {
@@ -300,7 +318,7 @@
         }
     }
     limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
-    if (hedgeDue(now) && budget.allows(now)) {
+    if (hedgeDue(now) && budget.allows(now) && !m_context.crashes.refused(now, m_fingerprint)) {
         const fleet::UpstreamChoice choice = choose(now);
         constexpr double maximumHedgeFaultProbability = 0.4;
         if (choice.upstream != nullptr && choice.grayProbability < maximumHedgeFaultProbability) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -45,10 +45,12 @@
 private:
     fleet::UpstreamChoice choose(TimePoint now);
     void tryAttempt(TimePoint now);
+    void retry(TimePoint now);
     void waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice);
     void startAttempt(TimePoint now, const fleet::UpstreamChoice &choice);
     void attemptEnded(Attempt &attempt);
     void recordOutcome(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome);
+    void recordCrashEvidence(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome);
     bool beginStreaming(Attempt &attempt);
     void forwardChunk(Attempt &attempt, std::string_view bytes);
     void sendAnswer(const Attempt &attempt);
@@ -80,9 +82,10 @@
     std::vector<std::unique_ptr<Attempt>> m_endedAttempts; ///< kept until the exchange ends, since their hooks may be running
     std::vector<UpstreamId> m_tried;
     Attempt *m_streaming = nullptr;
-    std::uint64_t m_fingerprint = 0;
+    fleet::RequestFingerprint m_fingerprint;
     int m_possibleRuns = 0;
     int m_attemptCount = 0;
+    int m_lostConnections = 0; ///< attempts whose upstream ended the connection
     bool m_mayHaveRun = false;
     bool m_done = false;
 };
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -69,6 +69,9 @@
     m_context.broadcast = [this](const fleet::FleetMessage &message) {
         broadcast(message);
     };
+    m_context.sendToRandom = [this](const fleet::FleetMessage &message) {
+        sendToRandom(message);
+    };
     m_context.reportEvents = [this](const fleet::NoticeItem &item) {
         reportEvents(item);
     };
@@ -84,7 +87,8 @@
         m_context.routes = table;
     };
     hooks.onUpstreams = [this] {
-        m_context.upstreams.setEntries(net::now(), m_storeReplica->catalogue().entries());
+        const TimePoint now = net::now();
+        m_context.crashes.onRemoved(now, m_context.upstreams.setEntries(now, m_storeReplica->catalogue().entries()));
     };
     hooks.onDelta = [this](const fleet::UpstreamDelta &delta) {
         shareDelta(delta);
@@ -191,13 +195,13 @@
     m_context.upstreams.expireReports(now);
     sendReports(now);
     sendNotices(now);
+    m_context.crashes.tick(now, m_membership.view()->members.size());
     registerSelf();
     readInstanceList();
     if (now >= m_nextPrune) {
         m_nextPrune = now + prunePeriod;
         logSendFailures();
         m_context.pool.prune(now, m_storeReplica->catalogue().entries());
-        m_context.crashes.expire(now);
         std::erase_if(m_servingInstances, [now](const auto &entry) {
             return now - entry.second > servingLifetime;
         });
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -65,6 +65,7 @@
     void send(const InstanceRef &to, const fleet::FleetMessage &message);
     void sendToAddress(const std::string &address, const fleet::FleetMessage &message);
     void broadcast(const fleet::FleetMessage &message);
+    void sendToRandom(const fleet::FleetMessage &message);
     void reportEvents(const fleet::NoticeItem &item);
     void scheduleNotices(TimePoint now);
     void sendNotices(TimePoint now);
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -1,6 +1,5 @@
 // Gateway: messages between instances.
 #include "proxy/gateway.h"
-#include "proxy/proxylog.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -95,6 +94,15 @@
     }
 }
 
+void Gateway::sendToRandom(const fleet::FleetMessage &message)
+{
+    const auto live = m_membership.view()->live();
+    const membership::Member *member = live.empty() ? nullptr : live[m_context.random() % live.size()];
+    if (member != nullptr && member->ref.id != m_settings.instance) {
+        sendToAddress(member->address, message);
+    }
+}
+
 void Gateway::reportEvents(const fleet::NoticeItem &item)
 {
     m_servingNotices.add(item);
@@ -193,9 +201,9 @@
     } else if (const auto *misdirected = std::get_if<fleet::MisdirectedNotice>(&datagram.message)) {
         m_context.upstreams.applyMisdirectedNotice(now, *misdirected);
     } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
-        m_context.crashes.recordCrash(now, crash->request, crash->key);
-        m_context.metrics.countCrash("other-instance");
-        logCrash(crash->request, crash->key, m_context.crashes.crashes(crash->request), datagram.from.id.value);
+        m_context.crashes.receive(now, {{{crash->request, 0, {}, {crash->key}}}}, datagram.from.id);
+    } else if (const auto *crashes = std::get_if<fleet::CrashReport>(&datagram.message)) {
+        m_context.crashes.receive(now, *crashes, datagram.from.id);
     } else if (const auto *notice = std::get_if<fleet::StoreNotice>(&datagram.message)) {
         const auto address = settings::parseEndpoint(m_membership.addressOf(datagram.from));
         if (address.has_value()) {
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -26,6 +26,16 @@
     return {text, static_cast<std::size_t>(length)};
 }
 
+/** The identities under which crashes by the request are logged. */
+std::string identities(const fleet::RequestFingerprint &fingerprint)
+{
+    std::string text;
+    for (const std::uint64_t identity : fingerprint.identities()) {
+        text += (text.empty() ? "" : ",") + hexadecimal(identity);
+    }
+    return text;
+}
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -54,7 +64,11 @@
                          {"attempt", std::to_string(attempt)}});
 }
 
-void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, std::uint64_t fingerprint, TimePoint now)
+void logAttempt(const std::string &requestId,
+                const ServiceId &service,
+                const Attempt &attempt,
+                const fleet::RequestFingerprint &fingerprint,
+                TimePoint now)
 {
     const AttemptResult &result = attempt.result();
     telemetry::LogFields fields{{"request", requestId},
@@ -64,28 +78,30 @@
                                 {"new-connection", result.newConnection ? "yes" : "no"},
                                 {"ms", milliseconds(attempt.age(now))}};
     if (result.classification.end == routing::AttemptEnd::Broken) {
-        fields.emplace_back("fingerprint", hexadecimal(fingerprint));
+        fields.emplace_back("fingerprint", identities(fingerprint));
     }
     telemetry::writeLog(LogLevel::Info, "end attempt", result.classification.reason, fields);
 }
 
-void logCrash(std::uint64_t fingerprint, std::uint32_t upstream, std::size_t crashes, const std::string &source)
+void logCrash(std::uint64_t fingerprint, const std::vector<std::uint32_t> &upstreams, std::size_t crashes, const std::string &source)
 {
-    telemetry::writeLog(LogLevel::Warning,
-                        "record crash",
-                        "an upstream ended while it ran this request",
-                        {{"fingerprint", hexadecimal(fingerprint)},
-                         {"upstream-key", std::to_string(upstream)},
-                         {"crashes", std::to_string(crashes)},
-                         {"source", source}});
+    std::string keys;
+    for (const std::uint32_t upstream : upstreams) {
+        keys += (keys.empty() ? "" : ",") + std::to_string(upstream);
+    }
+    telemetry::writeLog(
+        LogLevel::Warning,
+        "record crash",
+        "an upstream ended while it ran this request",
+        {{"fingerprint", hexadecimal(fingerprint)}, {"upstream-keys", keys}, {"crashes", std::to_string(crashes)}, {"source", source}});
 }
 
-void logCrashRefusal(const std::string &requestId, std::uint64_t fingerprint, std::size_t crashes)
+void logCrashRefusal(const std::string &requestId, const fleet::RequestFingerprint &fingerprint, std::size_t crashes)
 {
     telemetry::writeLog(LogLevel::Warning,
                         "refuse request",
                         "it crashes upstreams",
-                        {{"request", requestId}, {"fingerprint", hexadecimal(fingerprint)}, {"crashes", std::to_string(crashes)}});
+                        {{"request", requestId}, {"fingerprint", identities(fingerprint)}, {"crashes", std::to_string(crashes)}});
 }
 
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took)
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -1,11 +1,13 @@
 /** Log lines about requests: the choice of an upstream, the end of an attempt, the final answer. */
 #pragma once
 
+#include "fleet/requestfingerprint.h"
 #include "fleet/upstreamchoice.h"
 #include "proxy/attempt.h"
 #include "routing/routetable.h"
 
 #include <string>
+#include <vector>
 
 namespace jackdawdoor::proxy {
 
@@ -17,14 +19,18 @@
                int attempt);
 
 /** Logs the end of an attempt. fingerprint: of the request, logged if the connection ended without an answer. */
-void logAttempt(const std::string &requestId, const ServiceId &service, const Attempt &attempt, std::uint64_t fingerprint, TimePoint now);
+void logAttempt(const std::string &requestId,
+                const ServiceId &service,
+                const Attempt &attempt,
+                const fleet::RequestFingerprint &fingerprint,
+                TimePoint now);
 
-/** Logs that a request probably crashed an upstream. crashes: of that request so far. source: who found it, "own" or an
+/** Logs that a request probably crashed upstreams. crashes: of that request so far. source: who found it, "own" or an
  * instance. */
-void logCrash(std::uint64_t fingerprint, std::uint32_t upstream, std::size_t crashes, const std::string &source);
+void logCrash(std::uint64_t fingerprint, const std::vector<std::uint32_t> &upstreams, std::size_t crashes, const std::string &source);
 
 /** Logs that a request is not sent because it crashes upstreams. */
-void logCrashRefusal(const std::string &requestId, std::uint64_t fingerprint, std::size_t crashes);
+void logCrashRefusal(const std::string &requestId, const fleet::RequestFingerprint &fingerprint, std::size_t crashes);
 
 /** Logs the final answer of a request. route may be nullptr; status 0 means that the connection ended without an answer. */
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took);
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -13,7 +13,17 @@
     , dataCentre(std::move(dataCentreId))
     , pool(eventLoop, names.requestId)
     , random(seed)
+    , crashes(loop, random, metrics)
 {
+    crashes.setHooks({[this](const fleet::FleetMessage &message) {
+                          broadcast(message);
+                      },
+                      [this](const fleet::FleetMessage &message) {
+                          sendToRandom(message);
+                      },
+                      [this](const fleet::UpstreamEntry &upstream) {
+                          upstreams.recordUnreachable(net::now(), upstream.id, upstream.incarnation);
+                      }});
 }
 
 limits::FleetRetryBudget &RequestContext::budgetOf(const ServiceId &service)
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "base/random.h"
-#include "fleet/crashtracker.h"
 #include "fleet/fleetmessage.h"
 #include "fleet/upstreamchoice.h"
 #include "fleet/upstreamtable.h"
 #include "limits/fleetretrybudget.h"
 #include "net/eventloop.h"
 #include "proxy/connectionpool.h"
+#include "proxy/crashdetector.h"
 #include "proxy/headernames.h"
 #include "proxy/proxymetrics.h"
 #include "routing/routetable.h"
@@ -27,16 +27,17 @@
     DataCentreId dataCentre;
     ConnectionPool pool;
     fleet::UpstreamTable upstreams{};
-    fleet::CrashTracker crashes{};
     routing::RouteTablePointer routes{};
     routing::TrafficSplit split{};
     std::map<ServiceId, limits::FleetRetryBudget> budgets{};
     limits::FleetRetryLimits retryLimits{};
     RandomSource random;
     ProxyMetrics metrics{};
+    CrashDetector crashes;
     double floorShare = 0; ///< share of the ready upstreams that always get requests
     bool stopping = false; ///< new requests are refused
     std::function<void(const fleet::FleetMessage &)> broadcast{}; ///< to all live instances
+    std::function<void(const fleet::FleetMessage &)> sendToRandom{}; ///< to a random live instance
     std::function<void(const fleet::NoticeItem &)> reportEvents{}; ///< to the instances that choose upstreams, in a notice
 
     RequestContext(net::EventLoop &eventLoop, HeaderNames headerNames, InstanceId id, DataCentreId dataCentreId, std::uint64_t seed);
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -1,5 +1,4 @@
 /** Tests in virtual time of upstream selection, gray failure estimates, store reader election, routing and retries. */
-#include "fleet/crashtracker.h"
 #include "fleet/fleetmessage.h"
 #include "fleet/noticequeue.h"
 #include "fleet/storereaderelection.h"
@@ -318,23 +317,6 @@
     CHECK(stale == 6);
 }
 
-TEST_CASE("a request that crashes upstreams is refused, and one that only met connection resets is not")
-{
-    CrashTracker tracker;
-    constexpr std::uint64_t request = 42;
-    for (std::uint32_t upstream = 1; upstream <= 2; ++upstream) {
-        tracker.recordBrokenConnection(start, request, upstream);
-        CHECK_MESSAGE(!tracker.refused(request), "refused before two upstreams crashed");
-        const auto suspects = tracker.recordUnreachable(start + milliseconds{300}, upstream);
-        REQUIRE(suspects.size() == 1);
-        tracker.recordCrash(start, suspects.front(), upstream);
-    }
-    CHECK(tracker.refused(request));
-    tracker.recordBrokenConnection(start, 43, 9);
-    CHECK_MESSAGE(tracker.recordUnreachable(start + seconds{5}, 9).empty(),
-                  "a reset long before the upstream became unreachable counts as a crash");
-}
-
 TEST_CASE("the next step follows from how an attempt ended")
 {
     using routing::AttemptEnd;
@@ -401,6 +383,7 @@
     const std::vector<FleetMessage> messages{LoadReport{{{1, 2, 3, 4}, {4, 5, 6, 7}}, {{7, 8}}, true},
                                              UpstreamNotice{{{9, 1, 0}, {10, 2, 3}}},
                                              CrashNotice{1234567890123ULL, 5},
+                                             CrashReport{{{1234567890123ULL, 2, milliseconds{1500}, {5, 6}}, {7, 0, {}, {}}}},
                                              MisdirectedNotice{6},
                                              StoreNotice{12, 34, milliseconds{56}},
                                              UpstreamDelta{{makeEntry("u", 3, 4)}, {{UpstreamId{"v"}, 5, 6}}},
--- a/test/correctness/proxyfleet_test.cpp
+++ b/test/correctness/proxyfleet_test.cpp
@@ -39,6 +39,7 @@
                 const std::lock_guard lock(m_mutex);
                 m_messages.push_back(message);
             };
+            m_context->sendToRandom = [](const fleet::FleetMessage &) {};
             m_context->reportEvents = [this](const fleet::NoticeItem &item) {
                 const std::lock_guard lock(m_mutex);
                 m_messages.emplace_back(fleet::UpstreamNotice{{item}});
@@ -278,7 +279,9 @@
     sendAndReceive(fixture.port(), callerRequest("POST", "/once/death", "id-1", "x"));
     crashing.reset();
     sendAndReceive(fixture.port(), callerRequest("POST", "/once/other", "id-2", "x"));
-    CHECK_MESSAGE(fixture.messages<fleet::CrashNotice>().size() == 1, "the crash was not reported");
+    const auto reports = fixture.messages<fleet::CrashReport>();
+    REQUIRE_MESSAGE(reports.size() == 1, "the crash was not reported once");
+    CHECK_MESSAGE(reports.front().records.front().upstreams.size() == 1, "the report does not name the upstream");
 }
 
 // Guards against a crash of the process: the address in an entry from another instance was not validated.
