--- a/src/cli/proxycommand.cpp
+++ b/src/cli/proxycommand.cpp
@@ -1,10 +1,10 @@
 #include "cli/proxycommand.h"
 
 #include "cli/commandline.h"
-#include "platform/names.h"
 #include "platform/platformserver.h"
 #include "platform/platformsettings.h"
 #include "platform/storeclient.h"
+#include "platform/upstreamheaders.h"
 #include "telemetry/boundedlog.h"
 
 #include <event2/event.h>
@@ -68,7 +68,7 @@
         : m_settingsFile(std::move(settingsFile))
         , m_settings(settings)
         , m_store(m_loop, settings.store)
-        , m_gateway(m_loop, settings, platform::names::headers(), newIncarnation())
+        , m_gateway(m_loop, settings, platform::upstreamProtocol(), newIncarnation())
         , m_server(m_loop, m_gateway)
         , m_terminate(m_loop,
                       SIGTERM,
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -43,9 +43,9 @@
     return out;
 }
 
-Attempt::Attempt(ConnectionPool &pool, const HeaderNames &names, fleet::UpstreamEntry upstream, Hooks hooks)
+Attempt::Attempt(ConnectionPool &pool, const UpstreamProtocol &protocol, fleet::UpstreamEntry upstream, Hooks hooks)
     : m_pool(pool)
-    , m_names(names)
+    , m_protocol(protocol)
     , m_upstream(std::move(upstream))
     , m_hooks(std::move(hooks))
 {
@@ -60,7 +60,7 @@
     m_connection = m_pool.take(now, m_upstream, request.maximumIdle, m_result.newConnection);
     OutboundConnectionHooks hooks;
     hooks.onHead = [this](const MessageHead &head) {
-        m_result.head = head;
+        onHead(head);
     };
     hooks.onBody = [this](std::string_view bytes) {
         onBody(bytes);
@@ -71,7 +71,16 @@
     hooks.onFailure = [this](ConnectionFailure failure) {
         onFailure(failure);
     };
-    m_connection->send(upstreamRequest(request, m_upstream, m_names), m_requestId, request.head->method == "HEAD", std::move(hooks));
+    m_connection->send(
+        upstreamRequest(request, m_upstream, m_protocol.names), m_requestId, request.head->method == "HEAD", std::move(hooks));
+}
+
+void Attempt::onHead(const MessageHead &head)
+{
+    m_result.head = head;
+    if (isOwnAnswer(head, m_requestId, m_protocol.names)) {
+        m_result.signals = m_protocol.decodeSignals(head.headers);
+    }
 }
 
 void Attempt::onBody(std::string_view bytes)
@@ -87,7 +96,7 @@
     if (m_result.body.size() <= maximumBufferedAnswerBytes) {
         return;
     }
-    m_result.classification = classifyAnswer(m_result.head, m_requestId, m_names);
+    m_result.classification = classifyAnswer(m_result.head, m_requestId, m_protocol.names);
     m_streaming = m_hooks.onBufferFull(*this);
     if (!m_streaming) {
         // Only a success can be streamed; without a limit, an endless failure body would fill the memory.
@@ -104,7 +113,7 @@
         return;
     }
     m_result.took = age(net::now());
-    m_result.classification = classifyAnswer(m_result.head, m_requestId, m_names);
+    m_result.classification = classifyAnswer(m_result.head, m_requestId, m_protocol.names);
     m_pool.put(m_upstream, std::move(m_connection));
     m_hooks.onEnd(*this);
 }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -3,8 +3,8 @@
 
 #include "fleet/upstreamentry.h"
 #include "proxy/connectionpool.h"
-#include "proxy/headernames.h"
 #include "proxy/proxyanswer.h"
+#include "proxy/upstreamprotocol.h"
 
 #include <functional>
 #include <memory>
@@ -25,6 +25,7 @@
 struct AttemptResult {
     AnswerClassification classification;
     MessageHead head;
+    fleet::UpstreamSignals signals;
     std::string body;
     Duration took{};
     bool newConnection = false;
@@ -42,7 +43,7 @@
         std::function<void(Attempt &, std::string_view)> onBodyChunk;
     };
 
-    Attempt(ConnectionPool &pool, const HeaderNames &names, fleet::UpstreamEntry upstream, Hooks hooks);
+    Attempt(ConnectionPool &pool, const UpstreamProtocol &protocol, fleet::UpstreamEntry upstream, Hooks hooks);
     ~Attempt();
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
@@ -66,12 +67,13 @@
     void pauseReading(bool paused);
 
 private:
+    void onHead(const MessageHead &head);
     void onComplete();
     void onFailure(ConnectionFailure failure);
     void onBody(std::string_view bytes);
 
     ConnectionPool &m_pool;
-    const HeaderNames &m_names;
+    const UpstreamProtocol &m_protocol;
     fleet::UpstreamEntry m_upstream;
     Hooks m_hooks;
     std::unique_ptr<OutboundConnection> m_connection;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -50,7 +50,7 @@
     : m_context(context)
     , m_caller(caller)
     , m_request(std::move(request))
-    , m_requestId(net::findHeader(m_request.head.headers, context.names.requestId))
+    , m_requestId(net::findHeader(m_request.head.headers, context.protocol.names.requestId))
     , m_table(context.routes)
     , m_timer(context.loop,
               [this] {
@@ -93,7 +93,7 @@
         fail(now, notFound, "no-route");
         return;
     }
-    m_deadline = m_request.received + statedDeadline(m_request.head, m_context.names) - answerMargin;
+    m_deadline = m_request.received + statedDeadline(m_request.head, m_context.protocol.names) - answerMargin;
     if (route().timeout > Duration::zero()) {
         m_deadline = std::min(m_deadline, m_request.received + route().timeout);
     }
@@ -186,7 +186,7 @@
     hooks.onBodyChunk = [this](Attempt &attempt, std::string_view bytes) {
         forwardChunk(attempt, bytes);
     };
-    m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.names, record.entry, std::move(hooks)));
+    m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.protocol, record.entry, std::move(hooks)));
     const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle()};
     m_attempts.back()->start(now, request);
 }
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -40,7 +40,7 @@
         return other.get() != &attempt;
     });
     const MessageHead &head = attempt.result().head;
-    m_caller.start(head.status, answerHeaders(head, m_context.names), head.contentLength);
+    m_caller.start(head.status, answerHeaders(head, m_context.protocol.names), head.contentLength);
     m_caller.sendBody(attempt.result().body);
     return true;
 }
@@ -56,7 +56,7 @@
 void Exchange::sendAnswer(const Attempt &attempt)
 {
     const AttemptResult &result = attempt.result();
-    m_caller.reply(result.head.status, answerHeaders(result.head, m_context.names), result.body);
+    m_caller.reply(result.head.status, answerHeaders(result.head, m_context.protocol.names), result.body);
     finish(net::now(), result.head.status, result.classification.reason);
 }
 
@@ -64,7 +64,7 @@
 {
     net::Headers headers;
     if (!m_requestId.empty()) {
-        headers.push_back({m_context.names.requestId, m_requestId});
+        headers.push_back({m_context.protocol.names.requestId, m_requestId});
     }
     return headers;
 }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -45,10 +45,10 @@
 
 } // namespace
 
-Gateway::Gateway(net::EventLoop &loop, ProxySettings settings, HeaderNames names, Incarnation incarnation)
+Gateway::Gateway(net::EventLoop &loop, ProxySettings settings, UpstreamProtocol protocol, Incarnation incarnation)
     : m_loop(loop)
     , m_settings(std::move(settings))
-    , m_context(loop, std::move(names), m_settings.instance, m_settings.dataCentre, incarnation)
+    , m_context(loop, std::move(protocol), m_settings.instance, m_settings.dataCentre, incarnation)
     , m_proxy(m_context)
     , m_datagrams(loop,
                   [this](std::string_view bytes, const settings::Endpoint &) {
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -29,7 +29,7 @@
 class Gateway
 {
 public:
-    Gateway(net::EventLoop &loop, ProxySettings settings, HeaderNames names, Incarnation incarnation);
+    Gateway(net::EventLoop &loop, ProxySettings settings, UpstreamProtocol protocol, Incarnation incarnation);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
--- a/src/proxy/proxyanswer.cpp
+++ b/src/proxy/proxyanswer.cpp
@@ -42,6 +42,12 @@
     return {AttemptEnd::Answered, AttemptOutcome::Answered, "answered"};
 }
 
+bool isOwnAnswer(const MessageHead &head, const std::string &requestId, const HeaderNames &names)
+{
+    const bool echoed = net::findHeader(head.headers, names.requestId) == requestId;
+    return head.status != misdirected && (echoed || !net::findHeader(head.headers, names.notRun).empty());
+}
+
 net::Headers answerHeaders(const MessageHead &head, const HeaderNames &names)
 {
     net::Headers headers = net::withoutHopByHop(head.headers);
--- a/src/proxy/proxyanswer.h
+++ b/src/proxy/proxyanswer.h
@@ -21,6 +21,9 @@
 /** Classifies the complete answer to the request with that id. */
 AnswerClassification classifyAnswer(const MessageHead &head, const std::string &requestId, const HeaderNames &names);
 
+/** True if the head comes from the upstream to which that request was sent, so that its signals are the upstream's own. */
+bool isOwnAnswer(const MessageHead &head, const std::string &requestId, const HeaderNames &names);
+
 /** Headers of an upstream's answer that are forwarded to the caller. */
 net::Headers answerHeaders(const MessageHead &head, const HeaderNames &names);
 
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -77,6 +77,9 @@
                                 {"status", std::to_string(result.head.status)},
                                 {"new-connection", result.newConnection ? "yes" : "no"},
                                 {"ms", milliseconds(attempt.age(now))}};
+    if (result.signals.requestLimit) {
+        fields.emplace_back("limit", decimals(*result.signals.requestLimit));
+    }
     if (result.classification.end == routing::AttemptEnd::Broken) {
         fields.emplace_back("fingerprint", identities(fingerprint));
     }
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -3,15 +3,15 @@
 namespace jackdawdoor::proxy {
 
 RequestContext::RequestContext(net::EventLoop &eventLoop,
-                               HeaderNames headerNames,
+                               UpstreamProtocol upstreamProtocol,
                                InstanceId id,
                                DataCentreId dataCentreId,
                                std::uint64_t seed)
     : loop(eventLoop)
-    , names(std::move(headerNames))
+    , protocol(std::move(upstreamProtocol))
     , self(std::move(id))
     , dataCentre(std::move(dataCentreId))
-    , pool(eventLoop, names.requestId)
+    , pool(eventLoop, protocol.names.requestId)
     , random(seed)
     , crashes(loop, random, metrics)
 {
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -9,8 +9,8 @@
 #include "net/eventloop.h"
 #include "proxy/connectionpool.h"
 #include "proxy/crashdetector.h"
-#include "proxy/headernames.h"
 #include "proxy/proxymetrics.h"
+#include "proxy/upstreamprotocol.h"
 #include "routing/routetable.h"
 #include "routing/trafficsplit.h"
 
@@ -22,7 +22,7 @@
 
 struct RequestContext {
     net::EventLoop &loop;
-    HeaderNames names;
+    UpstreamProtocol protocol;
     InstanceId self;
     DataCentreId dataCentre;
     ConnectionPool pool;
@@ -40,7 +40,11 @@
     std::function<void(const fleet::FleetMessage &)> sendToRandom{}; ///< to a random live instance
     std::function<void(const fleet::NoticeItem &)> reportEvents{}; ///< to the instances that choose upstreams, in a notice
 
-    RequestContext(net::EventLoop &eventLoop, HeaderNames headerNames, InstanceId id, DataCentreId dataCentreId, std::uint64_t seed);
+    RequestContext(net::EventLoop &eventLoop,
+                   UpstreamProtocol upstreamProtocol,
+                   InstanceId id,
+                   DataCentreId dataCentreId,
+                   std::uint64_t seed);
 
     /** Retry budget of the service on this instance. */
     limits::FleetRetryBudget &budgetOf(const ServiceId &service);
--- /dev/null
+++ b/src/proxy/upstreamprotocol.h
@@ -0,0 +1,18 @@
+/** What the platform adapter tells the proxy about the messages of upstreams. */
+#pragma once
+
+#include "fleet/upstreamsignals.h"
+#include "net/httpmessage.h"
+#include "proxy/headernames.h"
+
+#include <functional>
+
+namespace jackdawdoor::proxy {
+
+/** Header names, and the decoder of what an upstream says about itself. */
+struct UpstreamProtocol {
+    HeaderNames names;
+    std::function<fleet::UpstreamSignals(const net::Headers &)> decodeSignals;
+};
+
+} // namespace jackdawdoor::proxy
--- a/test/correctness/proxyfleet_test.cpp
+++ b/test/correctness/proxyfleet_test.cpp
@@ -1,5 +1,5 @@
 /** Several proxy instances: discovery, distribution of the store's contents, and exchange of health reports. */
-#include "platform/names.h"
+#include "platform/upstreamheaders.h"
 #include "proxy/proxyserver.h"
 #include "standins/proxyinstance.h"
 #include "standins/rawclient.h"
@@ -34,7 +34,7 @@
         m_loop.start();
         m_loop.call([this] {
             m_context =
-                std::make_unique<proxy::RequestContext>(m_loop, platform::names::headers(), InstanceId{"i"}, DataCentreId{"dc-1"}, 1);
+                std::make_unique<proxy::RequestContext>(m_loop, platform::upstreamProtocol(), InstanceId{"i"}, DataCentreId{"dc-1"}, 1);
             m_context->broadcast = [this](const fleet::FleetMessage &message) {
                 const std::lock_guard lock(m_mutex);
                 m_messages.push_back(message);
--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -1,6 +1,7 @@
 #include "standins/proxyinstance.h"
 
 #include "platform/names.h"
+#include "platform/upstreamheaders.h"
 
 #include <nlohmann/json.hpp>
 
@@ -72,7 +73,7 @@
         m_client = std::make_unique<platform::StoreClient>(m_loop, m_settings.store);
         const auto clock = static_cast<Incarnation>(net::now().time_since_epoch().count());
         const Incarnation incarnation = options.incarnation == 0 ? clock : options.incarnation;
-        m_gateway = std::make_unique<proxy::Gateway>(m_loop, m_settings, platform::names::headers(), incarnation);
+        m_gateway = std::make_unique<proxy::Gateway>(m_loop, m_settings, platform::upstreamProtocol(), incarnation);
         m_server = std::make_unique<platform::PlatformServer>(m_loop, *m_gateway);
         const auto listening = m_server->listen(m_settings);
         const auto started = m_gateway->start(m_client->access([](const char *, bool) {}));
