Keep the limits that upstreams state, over all instances together

Cause: the header was dropped. Class of fault: a signal of a peer is received and not used, while what stands in for it (gray probability, reported load) points the other way.

Evidence: in the red test's log 334 answers state the limit and the upstream goes on being chosen every 25 ms.

Change: fleet::StatedLimit is a token bucket over the requests of the whole fleet, one for each upstream's incarnation. Own requests are counted when they begin, others' when their notice arrives; limit and requests travel in the upstream notices. A request uses a free token with a probability that lets one through in a notice's time, since several instances see the token at once. chooseUpstream is the one gate for first attempts, retries, hedges, waiting requests and coverage. The limit ends with an answer without failure that does not state it. If the limits of all upstreams keep a request for longer than it may wait, it is refused at once, with a Retry-After of that time.

Ruled out: an equal share of the limit for each instance (one request in 12 s each at a limit of one: callers' instances change, and most of the limit stays unused); a lease from a coordinator (none exists on this path).

Instances of an earlier version neither send nor read the limit; they read the rest of a notice as before.

--- a/bench/platform/servicemodel.cpp
+++ b/bench/platform/servicemodel.cpp
@@ -186,7 +186,7 @@
         m_figures.coverage += covers ? 1 : 0;
         ++request->sends;
         request->tried.push_back(choice.upstream->entry.id);
-        if (instance.board.beginAttempt(now, *choice.upstream)) {
+        if (instance.board.beginAttempt(now, *choice.upstream).has_value()) {
             tell(request->instance, {choice.upstream->key, 0, 1});
         }
         for (const auto &upstream : m_upstreams) {
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -31,7 +31,11 @@
 {
     json out = json::array();
     for (const NoticeItem &item : notice.items) {
-        out.push_back(json::array({item.key, item.failures, item.begun}));
+        json fields = json::array({item.key, item.failures, item.begun});
+        if (item.limit) {
+            fields.push_back(*item.limit);
+        }
+        out.push_back(std::move(fields));
     }
     return out;
 }
@@ -109,7 +113,12 @@
         return notice;
     }
     for (const json &item : in) {
-        notice.items.push_back({item.at(0).get<std::uint32_t>(), item.at(1).get<int>(), item.at(2).get<int>()});
+        NoticeItem decoded{item.at(0).get<std::uint32_t>(), item.at(1).get<int>(), item.at(2).get<int>()};
+        constexpr std::size_t limitIndex = 3; // not sent by instances of an earlier version
+        if (item.size() > limitIndex) {
+            decoded.limit = item.at(limitIndex).get<double>();
+        }
+        notice.items.push_back(decoded);
     }
     return notice;
 }
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -12,6 +12,7 @@
 #include "membership/membershipmessage.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,11 +51,15 @@
 /** Hash that identifies a service in messages between instances. */
 std::uint32_t serviceKey(const ServiceId &service);
 
+/** Value of NoticeItem::limit for an upstream that states no limit any more. */
+constexpr double noLimit = std::numeric_limits<double>::infinity();
+
 /** Failures at one upstream, and requests sent to it, since the sender's previous notice. */
 struct NoticeItem {
     std::uint32_t key = 0; ///< see upstreamKey
     int failures = 0;
-    int begun = 0; ///< requests to an upstream that no instance had used recently
+    int begun = 0; ///< requests to an upstream that states a limit, or that no instance had used recently
+    std::optional<double> limit = std::nullopt; ///< requests a second that the upstream takes from all instances, or noLimit
 
     bool operator==(const NoticeItem &) const = default;
 };
--- a/src/fleet/noticequeue.cpp
+++ b/src/fleet/noticequeue.cpp
@@ -13,6 +13,7 @@
     waiting.key = item.key;
     waiting.failures += item.failures;
     waiting.begun += item.begun;
+    waiting.limit = item.limit ? item.limit : waiting.limit;
 }
 
 bool NoticeQueue::due(TimePoint now) const
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -197,6 +197,8 @@
         return "no-upstream";
     case ChoiceReason::NoRoom:
         return "no-room";
+    case ChoiceReason::AtLimit:
+        return "at-limit";
     }
     return "no-upstream";
 }
@@ -205,6 +207,9 @@
 {
     UpstreamChoice choice;
     double best = std::numeric_limits<double>::max();
+    Duration shortestWait = Duration::max(); // until a stated limit allows a request
+    bool canHaveRoomSoon = false;
+    const double limitShare = StatedLimit::fairShare(request.requestsPerSecond);
     const double medianLatencySeconds = table.medianLatencySeconds(request.service);
     Coverage coverage;
     for (UpstreamRecord *record : table.ofService(request.service)) {
@@ -212,8 +217,14 @@
             continue;
         }
         ++choice.ready;
-        choice.reason = choice.upstream == nullptr ? ChoiceReason::NoRoom : choice.reason;
-        if (!hasRoom(now, *record)) {
+        const Duration wait = record->limit.timeUntilAllowed(now);
+        if (wait > Duration::zero()) {
+            shortestWait = std::min(shortestWait, wait);
+            continue;
+        }
+        const bool leftToOthers = record->limit.active() && uniform(random) >= limitShare;
+        if (!hasRoom(now, *record) || leftToOthers) {
+            canHaveRoomSoon = true;
             continue;
         }
         coverage.consider(now, *record, request, random);
@@ -235,6 +246,11 @@
     }
     if (choice.upstream != nullptr) {
         choice.grayProbability = choice.upstream->grayEstimate.probability(now);
+    } else if (canHaveRoomSoon) {
+        choice.reason = ChoiceReason::NoRoom;
+    } else if (choice.ready > 0) {
+        choice.reason = ChoiceReason::AtLimit;
+        choice.wait = shortestWait;
     }
     return choice;
 }
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -93,13 +93,38 @@
     return found == m_byKey.end() ? nullptr : found->second;
 }
 
-bool UpstreamTable::beginAttempt(TimePoint now, UpstreamRecord &record)
+std::optional<NoticeItem> UpstreamTable::beginAttempt(TimePoint now, UpstreamRecord &record)
 {
     const bool idle = now - record.lastUsed > noticedIdleTime;
     ++record.ownInFlight;
     ++record.unreportedBegun;
     record.lastUsed = now;
-    return idle;
+    record.limit.count(now, 1);
+    if (record.limit.active()) {
+        // The limit is repeated, for instances that missed it.
+        return NoticeItem{record.key, 0, 1, record.limit.requestsPerSecond()};
+    }
+    return idle ? std::optional(NoticeItem{record.key, 0, 1}) : std::nullopt;
+}
+
+std::optional<NoticeItem>
+UpstreamTable::recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered)
+{
+    UpstreamRecord *record = find(id, incarnation);
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    StatedLimit &limit = record->limit;
+    if (!signals.requestLimit) {
+        const bool ends = answered && limit.active();
+        if (ends) {
+            limit.clear();
+        }
+        return ends ? std::optional(NoticeItem{record->key, 0, 0, noLimit}) : std::nullopt;
+    }
+    const bool known = limit.active() && limit.requestsPerSecond() == *signals.requestLimit;
+    limit.set(now, *signals.requestLimit);
+    return known ? std::nullopt : std::optional(NoticeItem{record->key, 0, 0, signals.requestLimit});
 }
 
 void UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
@@ -166,6 +191,12 @@
         if (UpstreamRecord *record = findKey(item.key)) {
             record->grayEstimate.addFailures(now, item.failures);
             record->lastUsed = now;
+            if (item.limit == noLimit) {
+                record->limit.clear();
+            } else if (item.limit) {
+                record->limit.set(now, *item.limit);
+            }
+            record->limit.count(now, item.begun);
         }
     }
 }
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -7,7 +7,9 @@
 #pragma once
 
 #include "fleet/fleetmessage.h"
+#include "fleet/statedlimit.h"
 #include "fleet/upstreamentry.h"
+#include "fleet/upstreamsignals.h"
 #include "health/grayepisodeestimator.h"
 
 #include <map>
@@ -40,6 +42,7 @@
     TimePoint fullUntil{}; ///< end of the backoff after it rejected a request
     TimePoint unusableUntil{}; ///< end of the backoff after it was unreachable or its address belonged to another upstream
     int consecutiveUnreachable = 0;
+    StatedLimit limit; ///< requests that it takes from all instances together
     double meanLatencySeconds = 0; ///< moving mean over successful answers; zero before the first
     TimePoint lastUsed{}; ///< last request of any instance; the epoch before the first
     int unreportedSuccesses = 0; ///< own successes since the last load report
@@ -66,9 +69,9 @@
     /** Returns the record, or nullptr if this incarnation of the upstream is not in the table. */
     UpstreamRecord *find(const UpstreamId &id, std::int64_t incarnation);
 
-    /** Records the start of an attempt. Returns true if the upstream was idle, so that other instances, which would choose it
-     * for the same reason, should be told before the next load report. */
-    bool beginAttempt(TimePoint now, UpstreamRecord &record);
+    /** Records the start of an attempt. Returns what the other instances should know before the next load report: a request to
+     * an upstream that was idle, which they would choose for the same reason, or that states a limit. */
+    std::optional<NoticeItem> beginAttempt(TimePoint now, UpstreamRecord &record);
 
     /** Records the end of an attempt. Takes an id, because the record may have been removed in the meantime. */
     void endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration);
@@ -76,10 +79,15 @@
     /** Records that an attempt is overdue, which counts as a failure. Must be called at most once per attempt. */
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
+    /** Records what the upstream said about itself in an answer. answered: the answer reports no failure; only such an answer
+     * without a limit ends the limit. Returns what the other instances should know, if it is news. */
+    std::optional<NoticeItem>
+    recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered);
+
     /** Records that the upstream accepts no connections, found without an attempt of a request. */
     void recordUnreachable(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
-    /** Applies failures seen, and requests sent, by another instance. */
+    /** Applies failures and limits seen, and requests sent, by another instance. */
     void applyNotice(TimePoint now, const UpstreamNotice &notice);
 
     /** Applies another instance's finding that the address belongs to another upstream. */
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -80,6 +80,7 @@
     m_result.head = head;
     if (isOwnAnswer(head, m_requestId, m_protocol.names)) {
         m_result.signals = m_protocol.decodeSignals(head.headers);
+        m_hooks.onHead(*this);
     }
 }
 
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -37,6 +37,7 @@
 {
 public:
     struct Hooks {
+        std::function<void(const Attempt &)> onHead; ///< the head of the upstream's own answer has arrived, see isOwnAnswer
         std::function<void(Attempt &)> onEnd; ///< result() is set; the attempt may be destroyed
         /** The answer exceeds the buffer limit. Returns true to stream it: the rest arrives through onBodyChunk. */
         std::function<bool(Attempt &)> onBufferFull;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -147,7 +147,8 @@
 
 void Exchange::waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice)
 {
-    if (now < m_capacityDeadline) {
+    const bool inTime = choice.reason != fleet::ChoiceReason::AtLimit || now + choice.wait < m_capacityDeadline;
+    if (now < m_capacityDeadline && inTime) {
         m_waitTimer.set(capacityPollPeriod);
         return;
     }
@@ -158,7 +159,7 @@
         fail(now, badGateway, fleet::reasonName(choice.reason));
         return;
     }
-    refuse(now, fleet::reasonName(choice.reason));
+    refuse(now, fleet::reasonName(choice.reason), choice.wait);
 }
 
 Duration Exchange::maximumIdle() const
@@ -172,11 +173,14 @@
     ++m_attemptCount;
     m_tried.push_back(record.entry.id);
     m_context.crashes.onAttempt(now, m_fingerprint);
-    if (m_context.upstreams.beginAttempt(now, record)) {
-        m_context.reportEvents({record.key, 0, 1});
+    if (const auto notice = m_context.upstreams.beginAttempt(now, record)) {
+        m_context.reportEvents(*notice);
     }
     logChoice(m_requestId, m_service, choice, *m_table, m_attemptCount);
     Attempt::Hooks hooks;
+    hooks.onHead = [this](const Attempt &attempt) {
+        recordSignals(attempt);
+    };
     hooks.onEnd = [this](Attempt &attempt) {
         attemptEnded(attempt);
     };
@@ -191,6 +195,19 @@
     m_attempts.back()->start(now, request);
 }
 
+void Exchange::recordSignals(const Attempt &attempt)
+{
+    const AttemptResult &result = attempt.result();
+    const fleet::UpstreamEntry &upstream = attempt.upstream();
+    const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
+    const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
+    if (notice) {
+        m_context.reportEvents(*notice);
+        m_context.metrics.countLimitChange(result.signals.requestLimit ? "stated" : "ended");
+        logLimit(m_requestId, m_service, upstream, result.signals.requestLimit);
+    }
+}
+
 void Exchange::recordOutcome(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
 {
     const fleet::UpstreamEntry &upstream = attempt.upstream();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -48,13 +48,14 @@
     void retry(TimePoint now);
     void waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice);
     void startAttempt(TimePoint now, const fleet::UpstreamChoice &choice);
+    void recordSignals(const Attempt &attempt);
     void attemptEnded(Attempt &attempt);
     void recordOutcome(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome);
     void recordCrashEvidence(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome);
     bool beginStreaming(Attempt &attempt);
     void forwardChunk(Attempt &attempt, std::string_view bytes);
     void sendAnswer(const Attempt &attempt);
-    void refuse(TimePoint now, const char *reason);
+    void refuse(TimePoint now, const char *reason, Duration retryAfter = {});
     void fail(TimePoint now, int status, const char *reason);
     void onTimeout();
     void endUnanswered(fleet::AttemptOutcome outcome);
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -2,6 +2,7 @@
 #include "proxy/exchange.h"
 #include "proxy/proxylog.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace jackdawdoor::proxy {
@@ -14,6 +15,8 @@
  * deadline. */
 constexpr double minimumRetryAfterSeconds = 0.25;
 constexpr double retryAfterSpreadSeconds = 0.5;
+/** Callers that wait longer than this would miss an upstream that recovers. */
+constexpr double maximumRetryAfterSeconds = 5;
 
 std::string secondsText(double seconds)
 {
@@ -69,10 +72,11 @@
     return headers;
 }
 
-void Exchange::refuse(TimePoint now, const char *reason)
+void Exchange::refuse(TimePoint now, const char *reason, Duration retryAfter)
 {
     net::Headers headers = ownHeaders();
-    headers.push_back({"Retry-After", secondsText(minimumRetryAfterSeconds + retryAfterSpreadSeconds * uniform(m_context.random))});
+    const double seconds = std::clamp(toSeconds(retryAfter), minimumRetryAfterSeconds, maximumRetryAfterSeconds);
+    headers.push_back({"Retry-After", secondsText(seconds + retryAfterSpreadSeconds * uniform(m_context.random))});
     m_caller.reply(unavailable, headers, "not run\n");
     finish(now, unavailable, reason);
 }
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -50,18 +50,33 @@
                int attempt)
 {
     const fleet::UpstreamRecord &record = *choice.upstream;
+    telemetry::LogFields fields{{"request", requestId},
+                                {"service", service.value},
+                                {"upstream", record.entry.id.value},
+                                {"belief", decimals(choice.grayProbability)},
+                                {"cost", decimals(choice.cost)},
+                                {"in-flight", std::to_string(record.ownInFlight) + "+" + std::to_string(record.otherInFlight)},
+                                {"ready", std::to_string(choice.ready)},
+                                {"configuration", std::to_string(table.version())},
+                                {"attempt", std::to_string(attempt)}};
+    if (record.limit.active()) {
+        fields.emplace_back("limit", decimals(record.limit.requestsPerSecond()));
+    }
+    telemetry::writeLog(LogLevel::Info, "choose upstream", fleet::reasonName(choice.reason), fields);
+}
+
+void logLimit(const std::string &requestId,
+              const ServiceId &service,
+              const fleet::UpstreamEntry &upstream,
+              const std::optional<double> &requestsPerSecond)
+{
     telemetry::writeLog(LogLevel::Info,
-                        "choose upstream",
-                        fleet::reasonName(choice.reason),
+                        "upstream limit",
+                        requestsPerSecond ? "stated" : "ended",
                         {{"request", requestId},
                          {"service", service.value},
-                         {"upstream", record.entry.id.value},
-                         {"belief", decimals(choice.grayProbability)},
-                         {"cost", decimals(choice.cost)},
-                         {"in-flight", std::to_string(record.ownInFlight) + "+" + std::to_string(record.otherInFlight)},
-                         {"ready", std::to_string(choice.ready)},
-                         {"configuration", std::to_string(table.version())},
-                         {"attempt", std::to_string(attempt)}});
+                         {"upstream", upstream.id.value},
+                         {"limit", requestsPerSecond ? decimals(*requestsPerSecond) : ""}});
 }
 
 void logAttempt(const std::string &requestId,
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -6,6 +6,7 @@
 #include "proxy/attempt.h"
 #include "routing/routetable.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
                 const fleet::RequestFingerprint &fingerprint,
                 TimePoint now);
 
+/** Logs that an upstream states a limit, another one than before, or none any more (nullopt). */
+void logLimit(const std::string &requestId,
+              const ServiceId &service,
+              const fleet::UpstreamEntry &upstream,
+              const std::optional<double> &requestsPerSecond);
+
 /** Logs that a request probably crashed upstreams. crashes: of that request so far. source: who found it, "own" or an
  * instance. */
 void logCrash(std::uint64_t fingerprint, const std::vector<std::uint32_t> &upstreams, std::size_t crashes, const std::string &source);
