--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -164,14 +164,15 @@
     double wantedForFloor(const ChoiceRequest &request, int ready)
     {
         const auto needed = static_cast<std::size_t>(std::ceil(request.floorShare * ready));
-        const std::size_t counted = std::min(needed, m_idleTimes.size());
-        std::sort(m_idleTimes.begin(), m_idleTimes.end());
+        // The upstreams with the shortest idle times count towards the floor; their order does not matter.
+        const auto end = m_idleTimes.begin() + static_cast<std::ptrdiff_t>(std::min(needed, m_idleTimes.size()));
+        std::nth_element(m_idleTimes.begin(), end, m_idleTimes.end());
         int missing = 0;
-        for (std::size_t rank = 0; rank < counted; ++rank) {
-            if (m_idleTimes[rank] >= floorUrgentIdleTime) {
+        for (auto idle = m_idleTimes.begin(); idle != end; ++idle) {
+            if (*idle >= floorUrgentIdleTime) {
                 return 1;
             }
-            missing += m_idleTimes[rank] >= floorIdleTime ? 1 : 0;
+            missing += *idle >= floorIdleTime ? 1 : 0;
         }
         return std::min(maximumCoverageShare, missing / std::max(1.0, request.requestsPerSecond * toSeconds(floorSpreadTime)));
     }
--- a/src/proxy/connectionpool.cpp
+++ b/src/proxy/connectionpool.cpp
@@ -42,7 +42,6 @@
         idle.pop_back();
     }
     isNew = true;
-    ++m_opened;
     // The address was checked when the entry was decoded.
     return std::make_unique<OutboundConnection>(m_loop, settings::parseEndpoint(upstream.address).value(), m_requestIdHeader);
 }
@@ -81,9 +80,4 @@
     m_idle.erase(keyOf(upstream));
 }
 
-std::uint64_t ConnectionPool::opened() const
-{
-    return m_opened;
-}
-
 } // namespace jackdawdoor::proxy
--- a/src/proxy/connectionpool.h
+++ b/src/proxy/connectionpool.h
@@ -31,9 +31,6 @@
     /** Closes all idle connections to an upstream, after one of them failed. */
     void drop(const fleet::UpstreamEntry &upstream);
 
-    /** Number of connections opened so far. */
-    std::uint64_t opened() const;
-
 private:
     using Key = std::pair<UpstreamId, std::int64_t>;
 
@@ -42,7 +39,6 @@
     net::EventLoop &m_loop;
     std::string m_requestIdHeader;
     std::map<Key, std::vector<std::unique_ptr<OutboundConnection>>> m_idle;
-    std::uint64_t m_opened = 0;
 };
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -195,48 +195,6 @@
     m_attempts.back()->start(now, request);
 }
 
-void Exchange::recordSignals(const Attempt &attempt)
-{
-    const AttemptResult &result = attempt.result();
-    const fleet::UpstreamEntry &upstream = attempt.upstream();
-    const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
-    const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
-    if (notice) {
-        m_context.reportEvents(*notice);
-        m_context.metrics.countLimitChange(result.signals.requestLimit ? "stated" : "ended");
-        logLimit(m_requestId, m_service, upstream, result.signals.requestLimit);
-    }
-}
-
-void Exchange::recordOutcome(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
-{
-    const fleet::UpstreamEntry &upstream = attempt.upstream();
-    const std::uint32_t key = fleet::upstreamKey(upstream.id, upstream.incarnation);
-    m_context.upstreams.endAttempt(now, upstream.id, upstream.incarnation, outcome, attempt.age(now));
-    if (outcome == fleet::AttemptOutcome::Failed || outcome == fleet::AttemptOutcome::TimedOut) {
-        m_context.reportEvents({key, 1, 0});
-    }
-    if (outcome == fleet::AttemptOutcome::Misdirected) {
-        m_context.broadcast(fleet::MisdirectedNotice{key});
-    }
-    recordCrashEvidence(now, attempt, outcome);
-}
-
-void Exchange::recordCrashEvidence(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
-{
-    const fleet::UpstreamEntry &upstream = attempt.upstream();
-    const routing::AttemptEnd end = attempt.result().classification.end;
-    const bool timedOut = outcome == fleet::AttemptOutcome::TimedOut && attempt.mayHaveRun();
-    if (attempt.result().connectionLost || timedOut) {
-        const bool listed = m_context.upstreams.find(upstream.id, upstream.incarnation) != nullptr;
-        m_context.crashes.onUnanswered(now, m_fingerprint, upstream, listed);
-    } else if (outcome == fleet::AttemptOutcome::Unreachable) {
-        m_context.crashes.onUnreachable(now, fleet::upstreamKey(upstream.id, upstream.incarnation));
-    } else if (outcome == fleet::AttemptOutcome::Answered || (end == routing::AttemptEnd::FailureAnswer)) {
-        m_context.crashes.onAnswer(now, m_fingerprint);
-    }
-}
-
 void Exchange::attemptEnded(Attempt &attempt)
 {
     const TimePoint now = net::now();
@@ -350,9 +308,4 @@
     return m_done;
 }
 
-bool Exchange::running() const
-{
-    return !m_done && !m_attempts.empty();
-}
-
 } // namespace jackdawdoor::proxy
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -36,9 +36,6 @@
     /** The final answer has been given or the caller has disconnected. */
     bool done() const;
 
-    /** True while attempts are in progress. */
-    bool running() const;
-
     /** Gives the final answer now, because the process stops. */
     void endForStop();
 
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -64,6 +64,7 @@
     bool updateServing(const std::vector<fleet::DemandItem> &demand);
     void send(const InstanceRef &to, const fleet::FleetMessage &message);
     void sendToAddress(const std::string &address, const fleet::FleetMessage &message);
+    void sendToMembers(const fleet::FleetMessage &message, const std::function<bool(const membership::Member &)> &wanted);
     void broadcast(const fleet::FleetMessage &message);
     void sendToRandom(const fleet::FleetMessage &message);
     void reportEvents(const fleet::NoticeItem &item);
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -3,7 +3,6 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jackdawdoor::proxy {
 
@@ -42,7 +41,7 @@
         report.demand = m_context.takeDemand();
         report.serving = updateServing(report.demand);
         // An instance that begins to serve must be known to the others at once.
-        const bool begins = report.serving && !std::exchange(m_serving, report.serving);
+        const bool begins = report.serving && !m_serving;
         m_serving = report.serving;
         const bool hasContent = report.serving || !report.items.empty() || !report.demand.empty();
         if (report.serving && (begins || now >= m_nextBroadcast)) {
@@ -83,17 +82,39 @@
     }
 }
 
-void Gateway::broadcast(const fleet::FleetMessage &message)
+void Gateway::sendToMembers(const fleet::FleetMessage &message, const std::function<bool(const membership::Member &)> &wanted)
 {
     const std::string bytes = fleet::encodeDatagram({m_membership.self(), message});
     for (const membership::Member *member : m_membership.view()->live()) {
         const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->ref.id != m_settings.instance && endpoint.has_value()) {
+        if (member->ref.id != m_settings.instance && wanted(*member) && endpoint.has_value()) {
             m_datagrams.send(endpoint.value(), bytes);
         }
     }
 }
 
+void Gateway::broadcast(const fleet::FleetMessage &message)
+{
+    sendToMembers(message, [](const membership::Member &) {
+        return true;
+    });
+}
+
+/** Sends to the live instances that are not known to serve requests. */
+void Gateway::broadcastToOthers(const fleet::FleetMessage &message)
+{
+    sendToMembers(message, [this](const membership::Member &member) {
+        return !m_servingInstances.contains(member.ref.id);
+    });
+}
+
+void Gateway::sendInDataCentre(const fleet::FleetMessage &message)
+{
+    sendToMembers(message, [this](const membership::Member &member) {
+        return member.dataCentre == m_settings.dataCentre;
+    });
+}
+
 void Gateway::sendToRandom(const fleet::FleetMessage &message)
 {
     const auto live = m_membership.view()->live();
@@ -134,29 +155,6 @@
     scheduleNotices(now);
 }
 
-/** Sends to the live instances that are not known to serve requests. */
-void Gateway::broadcastToOthers(const fleet::FleetMessage &message)
-{
-    const std::string bytes = fleet::encodeDatagram({m_membership.self(), message});
-    for (const membership::Member *member : m_membership.view()->live()) {
-        const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->ref.id != m_settings.instance && !m_servingInstances.contains(member->ref.id) && endpoint.has_value()) {
-            m_datagrams.send(endpoint.value(), bytes);
-        }
-    }
-}
-
-void Gateway::sendInDataCentre(const fleet::FleetMessage &message)
-{
-    const std::string bytes = fleet::encodeDatagram({m_membership.self(), message});
-    for (const membership::Member *member : m_membership.view()->live()) {
-        const auto endpoint = settings::parseEndpoint(member->address);
-        if (member->dataCentre == m_settings.dataCentre && member->ref.id != m_settings.instance && endpoint.has_value()) {
-            m_datagrams.send(endpoint.value(), bytes);
-        }
-    }
-}
-
 void Gateway::shareDelta(const fleet::UpstreamDelta &delta)
 {
     // If every instance of the data centre fetched a large change instead, the reader would answer too slowly.
