Bound the datagrams about crashes when a whole service ends

By reading, before the landing: when many upstreams end at once, every request in progress there is charged, and each instance would have sent 2,000 datagrams a second about them. Now 500 a second and sender, records that lead to a refusal first, and the first message after a quiet time still at once (fleet_test). Not measured on the large site.

--- a/src/fleet/messagepacer.cpp
+++ b/src/fleet/messagepacer.cpp
@@ -4,15 +4,16 @@
 
 namespace jackdawdoor::fleet {
 
-MessagePacer::MessagePacer(Duration minimumPeriod)
+MessagePacer::MessagePacer(Duration minimumPeriod, int datagramsPerSecond)
     : m_minimumPeriod(minimumPeriod)
+    , m_datagramsPerSecond(datagramsPerSecond)
     , m_period(minimumPeriod)
 {
 }
 
 void MessagePacer::setReceivers(std::size_t receivers)
 {
-    const double seconds = static_cast<double>(receivers) / maximumDatagramsPerSecond;
+    const double seconds = static_cast<double>(receivers) / m_datagramsPerSecond;
     m_period = std::max(m_minimumPeriod, fromSeconds(seconds));
 }
 
--- a/src/fleet/messagepacer.h
+++ b/src/fleet/messagepacer.h
@@ -11,15 +11,12 @@
 
 namespace jackdawdoor::fleet {
 
-/** Datagrams that one pacer allows in a second. */
-constexpr int maximumDatagramsPerSecond = 2000;
-
 /** Tells when the next message may be sent. */
 class MessagePacer
 {
 public:
-    /** minimumPeriod: time between two messages to few receivers. */
-    explicit MessagePacer(Duration minimumPeriod);
+    /** minimumPeriod: time between two messages to few receivers. datagramsPerSecond: bound over all receivers. */
+    MessagePacer(Duration minimumPeriod, int datagramsPerSecond);
 
     /** Sets the number of receivers of a message. */
     void setReceivers(std::size_t receivers);
@@ -32,6 +29,7 @@
 
 private:
     Duration m_minimumPeriod;
+    int m_datagramsPerSecond;
     Duration m_period;
     TimePoint m_sentAt{};
 };
--- a/src/fleet/noticequeue.h
+++ b/src/fleet/noticequeue.h
@@ -15,6 +15,8 @@
 
 /** Minimum time between two messages. A gray upstream fails in a few milliseconds. */
 constexpr Duration minimumNoticePeriod = std::chrono::milliseconds{20};
+/** Datagrams that one queue may cause in a second. */
+constexpr int maximumDatagramsPerSecond = 2000;
 
 /** Queue of one instance's notices to one group of receivers. */
 class NoticeQueue
@@ -36,7 +38,7 @@
     UpstreamNotice take(TimePoint now);
 
 private:
-    MessagePacer m_pacer{minimumNoticePeriod};
+    MessagePacer m_pacer{minimumNoticePeriod, maximumDatagramsPerSecond};
     std::map<std::uint32_t, NoticeItem> m_waiting;
 };
 
--- a/src/proxy/crashdetector.cpp
+++ b/src/proxy/crashdetector.cpp
@@ -12,6 +12,9 @@
 
 /** Minimum time between two messages with new findings. */
 constexpr Duration sharePeriod = std::chrono::milliseconds{50};
+/** Datagrams with new findings that one instance may cause in a second. When many upstreams end at once, all requests that were
+ * in progress there are charged. */
+constexpr int sharedDatagramsPerSecond = 500;
 /** Interval at which the latest findings are sent to a random instance. A new instance gets them from the others, each of which
  * chooses it once in as many intervals as there are instances, so about twice in a second. */
 constexpr Duration repeatPeriod = std::chrono::milliseconds{500};
@@ -31,7 +34,7 @@
                    m_hooks.onUnreachable(upstream);
                    onUnreachable(now, fleet::upstreamKey(upstream.id, upstream.incarnation));
                })
-    , m_pacer(sharePeriod)
+    , m_pacer(sharePeriod, sharedDatagramsPerSecond)
 {
 }
 
@@ -112,18 +115,30 @@
     }
 }
 
+std::vector<fleet::CrashRecord> CrashDetector::takeUnshared(TimePoint now)
+{
+    std::vector<fleet::CrashRecord> records;
+    for (const std::uint64_t request : m_unshared) {
+        records.push_back(m_tracker.record(now, request));
+    }
+    // Records that lead to a refusal first; the others may wait.
+    std::stable_sort(records.begin(), records.end(), [](const fleet::CrashRecord &first, const fleet::CrashRecord &second) {
+        return first.upstreams.size() > second.upstreams.size();
+    });
+    records.resize(std::min(records.size(), maximumSharedRecords));
+    for (const fleet::CrashRecord &record : records) {
+        m_unshared.erase(record.request);
+    }
+    return records;
+}
+
 void CrashDetector::share(TimePoint now)
 {
     if (m_unshared.empty() || m_pacer.timeUntilDue(now) > Duration::zero()) {
         return;
     }
-    fleet::CrashReport report;
-    while (!m_unshared.empty() && report.records.size() < maximumSharedRecords) {
-        report.records.push_back(m_tracker.record(now, *m_unshared.begin()));
-        m_unshared.erase(m_unshared.begin());
-    }
     m_pacer.recordSent(now);
-    m_hooks.broadcast(report);
+    m_hooks.broadcast(fleet::CrashReport{takeUnshared(now)});
 }
 
 void CrashDetector::tick(TimePoint now, std::size_t instances)
--- a/src/proxy/crashdetector.h
+++ b/src/proxy/crashdetector.h
@@ -66,6 +66,7 @@
 private:
     void charge(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream);
     void share(TimePoint now);
+    std::vector<fleet::CrashRecord> takeUnshared(TimePoint now);
 
     RandomSource &m_random;
     ProxyMetrics &m_metrics;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -401,6 +401,18 @@
     CHECK(!decodeDatagram("\x01").has_value());
 }
 
+// Guards against an instance of 0.1 cores that is flooded when a whole service ends and all of its requests are charged.
+TEST_CASE("messages to many receivers become rarer, and the first one is sent at once")
+{
+    MessagePacer pacer(milliseconds{50}, 500);
+    CHECK(pacer.timeUntilDue(start) == Duration::zero());
+    pacer.recordSent(start);
+    CHECK(pacer.timeUntilDue(start) == milliseconds{50});
+    pacer.setReceivers(1000);
+    CHECK(pacer.timeUntilDue(start) == seconds{2});
+    CHECK(pacer.timeUntilDue(start + seconds{3}) == Duration::zero());
+}
+
 // Guards against a failure of an instance of the previous version that is lost or counted twice during a rolling update.
 TEST_CASE("a failure notice of the previous version is read as one failure")
 {
