--- a/test/standins/scriptedupstream.cpp
+++ b/test/standins/scriptedupstream.cpp
@@ -10,7 +10,6 @@
 #include <unistd.h>
 
 #include <string_view>
-#include <utility>
 
 namespace jackdawdoor::standins {
 
@@ -144,7 +143,7 @@
 {
     while (!m_stopping) {
         if (crashed() && m_listener >= 0) {
-            close(std::exchange(m_listener, -1));
+            close(m_listener.exchange(-1));
         } else if (!crashed() && m_listener < 0) {
             openListener();
         }
@@ -207,7 +206,9 @@
             m_downUntil = (net::now() + reply.crashFor).time_since_epoch().count();
             ++m_crashes;
             // The listener must be closed first: a process that ends refuses connections by the time its peers see the reset.
-            std::this_thread::sleep_for(std::chrono::milliseconds{2 * pollMilliseconds});
+            while (m_listener >= 0 && !m_stopping) {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
             continue;
         }
         if (reply.resetAfter) {
--- a/test/standins/scriptedupstream.h
+++ b/test/standins/scriptedupstream.h
@@ -83,7 +83,7 @@
     std::atomic<int> m_repeatedEnds{0};
     std::atomic<int> m_crashes{0};
     std::atomic<TimePoint::rep> m_downUntil{0}; ///< end of the latest crash
-    int m_listener = -1; ///< -1 while crashed
+    std::atomic<int> m_listener{-1}; ///< -1 while crashed
     int m_port = 0; ///< zero until the first listener is open
     std::thread m_acceptor;
 };
