--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -34,33 +34,33 @@
 
 std::vector<std::uint64_t> CrashTracker::recordUnreachable(TimePoint now, std::uint32_t upstream)
 {
-    return charge(now, upstream, unreachableWindow);
+    return attribute(now, upstream, unreachableWindow);
 }
 
 std::vector<std::uint64_t> CrashTracker::recordRemoved(TimePoint now, std::uint32_t upstream)
 {
-    return charge(now, upstream, removalWindow);
+    return attribute(now, upstream, removalWindow);
 }
 
-std::vector<std::uint64_t> CrashTracker::charge(TimePoint now, std::uint32_t upstream, Duration window)
+std::vector<std::uint64_t> CrashTracker::attribute(TimePoint now, std::uint32_t upstream, Duration window)
 {
-    std::vector<std::uint64_t> charged;
+    std::vector<std::uint64_t> attributed;
     const auto [first, last] = m_brokenConnections.equal_range(upstream);
     for (auto entry = first; entry != last; ++entry) {
         if (now - entry->second.at > window) {
             continue;
         }
-        Charges &charges = m_charges[entry->second.request];
-        if (charges.upstreams.size() < maximumUpstreamsPerRecord && charges.upstreams.insert(upstream).second) {
-            charged.push_back(entry->second.request);
-            onChange(now, charges);
+        Suspect &suspect = m_suspects[entry->second.request];
+        if (suspect.upstreams.size() < maximumUpstreamsPerRecord && suspect.upstreams.insert(upstream).second) {
+            attributed.push_back(entry->second.request);
+            onChange(now, suspect);
         }
     }
     m_brokenConnections.erase(first, last);
-    if (m_charges.size() > maximumRecords) {
+    if (m_suspects.size() > maximumRecords) {
         removeOldest();
     }
-    return charged;
+    return attributed;
 }
 
 Duration CrashTracker::refusalTime(std::size_t crashes) const
@@ -72,69 +72,69 @@
     return std::min(recordLifetime, std::chrono::duration_cast<Duration>(time * (1 + refusalSpread * m_spread)));
 }
 
-void CrashTracker::onChange(TimePoint at, Charges &charges) const
+void CrashTracker::onChange(TimePoint at, Suspect &suspect) const
 {
-    charges.changed = std::max(charges.changed, at);
-    const std::size_t crashes = charges.upstreams.size();
-    charges.refusedUntil = crashes < maximumCrashes ? TimePoint{} : charges.changed + refusalTime(crashes);
+    suspect.changed = std::max(suspect.changed, at);
+    const std::size_t crashes = suspect.upstreams.size();
+    suspect.refusedUntil = crashes < maximumCrashes ? TimePoint{} : suspect.changed + refusalTime(crashes);
 }
 
 void CrashTracker::removeOldest()
 {
-    const auto oldest = std::min_element(m_charges.begin(), m_charges.end(), [](const auto &first, const auto &second) {
+    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &first, const auto &second) {
         return first.second.changed < second.second.changed;
     });
-    m_charges.erase(oldest);
+    m_suspects.erase(oldest);
 }
 
 bool CrashTracker::recordAnswer(TimePoint now, std::uint64_t request)
 {
-    if (m_charges.empty() && m_brokenConnections.empty()) {
+    if (m_suspects.empty() && m_brokenConnections.empty()) {
         return false; // the usual case
     }
     std::erase_if(m_brokenConnections, [request](const auto &entry) {
         return entry.second.request == request;
     });
-    const auto found = m_charges.find(request);
-    if (found == m_charges.end() || found->second.upstreams.empty()) {
+    const auto found = m_suspects.find(request);
+    if (found == m_suspects.end() || found->second.upstreams.empty()) {
         return false;
     }
     found->second.upstreams.clear();
-    ++found->second.acquittals;
+    ++found->second.clearances;
     onChange(now, found->second);
     return true;
 }
 
 void CrashTracker::recordAttempt(TimePoint now, std::uint64_t request)
 {
-    const auto found = m_charges.find(request);
-    if (found != m_charges.end() && found->second.upstreams.size() >= maximumCrashes) {
+    const auto found = m_suspects.find(request);
+    if (found != m_suspects.end() && found->second.upstreams.size() >= maximumCrashes) {
         found->second.refusedUntil = now + refusalTime(found->second.upstreams.size());
     }
 }
 
 bool CrashTracker::merge(TimePoint now, const CrashRecord &record)
 {
-    const auto known = m_charges.find(record.request);
-    const bool outdated = known != m_charges.end() && record.acquittals < known->second.acquittals;
+    const auto known = m_suspects.find(record.request);
+    const bool outdated = known != m_suspects.end() && record.clearances < known->second.clearances;
     if (outdated || record.age < Duration::zero() || record.age > recordLifetime) {
         return false;
     }
-    Charges &charges = m_charges[record.request];
-    bool changed = record.acquittals > charges.acquittals;
+    Suspect &suspect = m_suspects[record.request];
+    bool changed = record.clearances > suspect.clearances;
     if (changed) {
-        charges.acquittals = record.acquittals;
-        charges.upstreams.clear();
+        suspect.clearances = record.clearances;
+        suspect.upstreams.clear();
     }
     for (const std::uint32_t upstream : record.upstreams) {
-        if (charges.upstreams.size() < maximumUpstreamsPerRecord) {
-            changed = charges.upstreams.insert(upstream).second || changed;
+        if (suspect.upstreams.size() < maximumUpstreamsPerRecord) {
+            changed = suspect.upstreams.insert(upstream).second || changed;
         }
     }
     if (changed) {
-        onChange(now - record.age, charges);
+        onChange(now - record.age, suspect);
     }
-    if (m_charges.size() > maximumRecords) {
+    if (m_suspects.size() > maximumRecords) {
         removeOldest();
     }
     return changed;
@@ -142,33 +142,33 @@
 
 bool CrashTracker::refused(TimePoint now, std::uint64_t request) const
 {
-    const auto found = m_charges.find(request);
-    return found != m_charges.end() && now < found->second.refusedUntil;
+    const auto found = m_suspects.find(request);
+    return found != m_suspects.end() && now < found->second.refusedUntil;
 }
 
 std::size_t CrashTracker::crashes(std::uint64_t request) const
 {
-    const auto found = m_charges.find(request);
-    return found == m_charges.end() ? 0 : found->second.upstreams.size();
+    const auto found = m_suspects.find(request);
+    return found == m_suspects.end() ? 0 : found->second.upstreams.size();
 }
 
-CrashRecord CrashTracker::toRecord(TimePoint now, std::uint64_t request, const Charges &charges)
+CrashRecord CrashTracker::toRecord(TimePoint now, std::uint64_t request, const Suspect &suspect)
 {
-    return {request, charges.acquittals, now - charges.changed, {charges.upstreams.begin(), charges.upstreams.end()}};
+    return {request, suspect.clearances, now - suspect.changed, {suspect.upstreams.begin(), suspect.upstreams.end()}};
 }
 
 CrashRecord CrashTracker::record(TimePoint now, std::uint64_t request) const
 {
-    const auto found = m_charges.find(request);
-    return found == m_charges.end() ? CrashRecord{request, 0, {}, {}} : toRecord(now, request, found->second);
+    const auto found = m_suspects.find(request);
+    return found == m_suspects.end() ? CrashRecord{request, 0, {}, {}} : toRecord(now, request, found->second);
 }
 
 std::vector<CrashRecord> CrashTracker::records(TimePoint now, std::size_t maximum) const
 {
     std::vector<CrashRecord> all;
-    all.reserve(m_charges.size());
-    for (const auto &[request, charges] : m_charges) {
-        all.push_back(toRecord(now, request, charges));
+    all.reserve(m_suspects.size());
+    for (const auto &[request, suspect] : m_suspects) {
+        all.push_back(toRecord(now, request, suspect));
     }
     const auto count = static_cast<std::ptrdiff_t>(std::min(maximum, all.size()));
     std::partial_sort(all.begin(), all.begin() + count, all.end(), [](const CrashRecord &first, const CrashRecord &second) {
@@ -185,7 +185,7 @@
     std::erase_if(m_brokenConnections, [now](const auto &entry) {
         return now - entry.second.at > removalWindow;
     });
-    std::erase_if(m_charges, [now](const auto &entry) {
+    std::erase_if(m_suspects, [now](const auto &entry) {
         return now - entry.second.changed > recordLifetime;
     });
 }
--- a/src/fleet/crashtracker.h
+++ b/src/fleet/crashtracker.h
@@ -2,7 +2,7 @@
  *
  * An upstream counts as crashed by a request if it ended the connection, or did not answer in time, while it was running the
  * request, and its process had ended: it refused connections shortly afterwards, or its entry was replaced or removed. Other
- * requests that were in progress there are charged as well; the first complete answer to one of them acquits it.
+ * requests that were in progress there are suspects as well; the first complete answer to one of them clears it.
  *
  * A request that has crashed several upstreams is refused for a time that doubles with each further crash. Then a single
  * attempt is allowed, so that a request that was in progress during unrelated crashes is not refused for long.
@@ -26,7 +26,7 @@
 /** Crashes by one request, as exchanged between instances. */
 struct CrashRecord {
     std::uint64_t request = 0; ///< one identity of its fingerprint, see RequestFingerprint
-    std::uint32_t acquittals = 0; ///< the crashes are those since this acquittal; a record with more of them is newer
+    std::uint32_t clearances = 0; ///< the crashes are those since this clearance; a record with more of them is newer
     Duration age{}; ///< time since the last change
     std::vector<std::uint32_t> upstreams; ///< crashed upstreams, see upstreamKey
 
@@ -44,13 +44,13 @@
     /** Records that the upstream left the request without an answer. */
     void recordBrokenConnection(TimePoint now, std::uint64_t request, std::uint32_t upstream);
 
-    /** Records that the upstream refuses connections. Returns the requests that are charged with the crash. */
+    /** Records that the upstream refuses connections. Returns the requests to which the crash is attributed. */
     std::vector<std::uint64_t> recordUnreachable(TimePoint now, std::uint32_t upstream);
 
-    /** Records that the upstream's entry was replaced or removed. Returns the requests that are charged with the crash. */
+    /** Records that the upstream's entry was replaced or removed. Returns the requests to which the crash is attributed. */
     std::vector<std::uint64_t> recordRemoved(TimePoint now, std::uint32_t upstream);
 
-    /** Records that an upstream answered the request completely. Returns true if the request was charged with a crash, so that
+    /** Records that an upstream answered the request completely. Returns true if a crash was attributed to the request, so that
      * other instances should be told. */
     bool recordAnswer(TimePoint now, std::uint64_t request);
 
@@ -80,22 +80,22 @@
         TimePoint at{};
         std::uint64_t request = 0;
     };
-    struct Charges {
+    struct Suspect {
         TimePoint changed{};
         TimePoint refusedUntil{};
-        std::uint32_t acquittals = 0;
+        std::uint32_t clearances = 0;
         std::set<std::uint32_t> upstreams;
     };
 
-    std::vector<std::uint64_t> charge(TimePoint now, std::uint32_t upstream, Duration window);
-    void onChange(TimePoint at, Charges &charges) const;
+    std::vector<std::uint64_t> attribute(TimePoint now, std::uint32_t upstream, Duration window);
+    void onChange(TimePoint at, Suspect &suspect) const;
     Duration refusalTime(std::size_t crashes) const;
     void removeOldest();
-    static CrashRecord toRecord(TimePoint now, std::uint64_t request, const Charges &charges);
+    static CrashRecord toRecord(TimePoint now, std::uint64_t request, const Suspect &suspect);
 
     double m_spread;
     std::multimap<std::uint32_t, BrokenConnection> m_brokenConnections; ///< by upstream
-    std::map<std::uint64_t, Charges> m_charges; ///< by request
+    std::map<std::uint64_t, Suspect> m_suspects; ///< by request
 };
 
 } // namespace jackdawdoor::fleet
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -54,7 +54,7 @@
 {
     json out = json::array();
     for (const CrashRecord &record : report.records) {
-        out.push_back(json::array({record.request, record.acquittals, record.age.count(), record.upstreams}));
+        out.push_back(json::array({record.request, record.clearances, record.age.count(), record.upstreams}));
     }
     return out;
 }
--- a/src/proxy/crashdetector.cpp
+++ b/src/proxy/crashdetector.cpp
@@ -13,7 +13,7 @@
 /** Minimum time between two messages with new findings. */
 constexpr Duration sharePeriod = std::chrono::milliseconds{50};
 /** Datagrams with new findings that one instance may cause in a second. When many upstreams end at once, all requests that were
- * in progress there are charged. */
+ * in progress there become suspects. */
 constexpr int sharedDatagramsPerSecond = 500;
 /** Interval at which the latest findings are sent to a random instance. A new instance gets them from the others, each of which
  * chooses it once in as many intervals as there are instances, so about twice in a second. */
@@ -69,7 +69,7 @@
     if (listed) {
         m_checks.start(now, upstream);
     } else {
-        charge(now, m_tracker.recordRemoved(now, key), key);
+        attribute(now, m_tracker.recordRemoved(now, key), key);
     }
 }
 
@@ -85,17 +85,17 @@
 
 void CrashDetector::onUnreachable(TimePoint now, std::uint32_t upstream)
 {
-    charge(now, m_tracker.recordUnreachable(now, upstream), upstream);
+    attribute(now, m_tracker.recordUnreachable(now, upstream), upstream);
 }
 
 void CrashDetector::onRemoved(TimePoint now, const std::vector<std::uint32_t> &upstreams)
 {
     for (const std::uint32_t upstream : upstreams) {
-        charge(now, m_tracker.recordRemoved(now, upstream), upstream);
+        attribute(now, m_tracker.recordRemoved(now, upstream), upstream);
     }
 }
 
-void CrashDetector::charge(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream)
+void CrashDetector::attribute(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream)
 {
     for (const std::uint64_t request : requests) {
         m_metrics.countCrash("own");
--- a/src/proxy/crashdetector.h
+++ b/src/proxy/crashdetector.h
@@ -64,7 +64,7 @@
     void tick(TimePoint now, std::size_t instances);
 
 private:
-    void charge(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream);
+    void attribute(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream);
     void share(TimePoint now);
     std::vector<fleet::CrashRecord> takeUnshared(TimePoint now);
 
--- a/test/correctness/crashtracker_test.cpp
+++ b/test/correctness/crashtracker_test.cpp
@@ -1,4 +1,4 @@
-/** fleet::CrashTracker: charges, refusals, acquittals, and a fleet of trackers that lose messages, in virtual time. */
+/** fleet::CrashTracker: evidence, refusals, clearances, and a fleet of trackers that lose messages, in virtual time. */
 #include "base/random.h"
 #include "fleet/crashtracker.h"
 
@@ -120,8 +120,8 @@
     for (std::uint32_t upstream = 1; upstream <= 2; ++upstream) {
         tracker.recordBrokenConnection(start, deadly, upstream);
         CHECK_MESSAGE(!tracker.refused(start, deadly), "refused before two upstreams crashed");
-        const auto charged = tracker.recordUnreachable(start + milliseconds{300}, upstream);
-        REQUIRE(charged == std::vector<std::uint64_t>{deadly});
+        const auto attributed = tracker.recordUnreachable(start + milliseconds{300}, upstream);
+        REQUIRE(attributed == std::vector<std::uint64_t>{deadly});
     }
     CHECK(tracker.refused(start + seconds{1}, deadly));
     tracker.recordBrokenConnection(start, 43, 9);
@@ -152,12 +152,12 @@
     CHECK(second.recordAnswer(later, deadly));
     CHECK(!second.refused(later, deadly));
     first.merge(later, second.record(later, deadly));
-    CHECK_MESSAGE(!first.refused(later, deadly), "the acquittal did not reach the other instance");
+    CHECK_MESSAGE(!first.refused(later, deadly), "the clearance did not reach the other instance");
     second.merge(later, {deadly, 0, {}, {1, 2}});
-    CHECK_MESSAGE(!second.refused(later, deadly), "an old record undid the acquittal");
+    CHECK_MESSAGE(!second.refused(later, deadly), "an old record undid the clearance");
 }
 
-TEST_CASE("an answer after a broken connection keeps the request from being charged with a later crash")
+TEST_CASE("an answer after a broken connection keeps the request from being suspected of a later crash")
 {
     CrashTracker tracker;
     tracker.recordBrokenConnection(start, deadly, 1);
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -401,7 +401,7 @@
     CHECK(!decodeDatagram("\x01").has_value());
 }
 
-// Guards against an instance of 0.1 cores that is flooded when a whole service ends and all of its requests are charged.
+// Guards against an instance of 0.1 cores that is flooded when a whole service ends and all of its requests become suspects.
 TEST_CASE("messages to many receivers become rarer, and the first one is sent at once")
 {
     MessagePacer pacer(milliseconds{50}, 500);
