--- a/src/proxy/connectioncheck.h
+++ b/src/proxy/connectioncheck.h
@@ -17,7 +17,7 @@
 
 namespace jackdawdoor::proxy {
 
-/** Runs checks, at most one at a time for each address and at most one in a second. Used on one loop. */
+/** Runs checks, at most one in a second for each address; later ones wait. Used on one loop. */
 class ConnectionChecks
 {
 public:
@@ -29,7 +29,7 @@
     ConnectionChecks(const ConnectionChecks &) = delete;
     ConnectionChecks &operator=(const ConnectionChecks &) = delete;
 
-    /** Starts a check, unless one is running or has just been made. */
+    /** Starts a check of the upstream as it is from now on, after the interval to the previous one. */
     void start(TimePoint now, const fleet::UpstreamEntry &upstream);
 
     /** Forgets old checks. */
@@ -38,8 +38,6 @@
 private:
     class Check;
 
-    void finish(Check &check, bool accepted);
-
     net::EventLoop &m_loop;
     OnUnreachable m_onUnreachable;
     std::map<std::string, std::unique_ptr<Check>> m_checks; ///< by address
--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-/** A connection opens in about 1 ms within a data centre; a lost SYN is retransmitted only after one second. */
-constexpr Duration connectTimeout = std::chrono::milliseconds{250};
 /** Idle time after which a connection is closed if the upstream states no Keep-Alive timeout. */
 constexpr Duration defaultIdleLimit = std::chrono::seconds{8};
 /** Subtracted from the upstream's Keep-Alive timeout, so that this side closes first. */
--- a/src/proxy/outboundconnection.h
+++ b/src/proxy/outboundconnection.h
@@ -23,6 +23,9 @@
  * connection still works, so the timeout spans eight probes. */
 constexpr std::chrono::seconds upstreamPeerTimeout{8};
 
+/** A connection opens in about 1 ms within a data centre; a lost SYN is retransmitted only after one second. */
+constexpr Duration connectTimeout = std::chrono::milliseconds{250};
+
 /** Limits of what is read before the answer to the pending request: surplus answers to earlier requests, and interim ones. */
 constexpr std::size_t maximumSkippedBytes = std::size_t{4} * 1024 * 1024;
 constexpr int maximumSkippedAnswers = 16;
