Keep a broken connection for the proof by a replaced entry

Evidence: the new test, on the former code: 0 requests suspected where 1 had crashed the upstream. Now only those that a proof has used are discarded; the rest expire.

--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -46,8 +46,9 @@
 {
     std::vector<std::uint64_t> attributed;
     const auto [first, last] = m_brokenConnections.equal_range(upstream);
-    for (auto entry = first; entry != last; ++entry) {
+    for (auto entry = first; entry != last;) {
         if (now - entry->second.at > window) {
+            ++entry; // a proof with a longer window may follow
             continue;
         }
         Suspect &suspect = m_suspects[entry->second.request];
@@ -55,8 +56,8 @@
             attributed.push_back(entry->second.request);
             onChange(now, suspect);
         }
+        entry = m_brokenConnections.erase(entry);
     }
-    m_brokenConnections.erase(first, last);
     if (m_suspects.size() > maximumRecords) {
         removeOldest();
     }
--- a/test/correctness/crashtracker_test.cpp
+++ b/test/correctness/crashtracker_test.cpp
@@ -137,6 +137,14 @@
     CHECK(tracker.crashes(deadly) == 1);
 }
 
+TEST_CASE("a refused connection that comes too late as proof leaves the proof by a replaced entry open")
+{
+    CrashTracker tracker;
+    tracker.recordBrokenConnection(start, deadly, 1);
+    CHECK(tracker.recordUnreachable(start + seconds{3}, 1).empty());
+    CHECK_MESSAGE(tracker.recordRemoved(start + seconds{5}, 1).size() == 1, "the broken connection was forgotten");
+}
+
 TEST_CASE("a request that was in progress during unrelated crashes is not refused once it was answered")
 {
     CrashTracker first;
