Use a failed connection check as evidence of a crash only

Without it the choice is the former one unless an upstream states a limit. No test depended on it.

Ruled out: keeping it for its use (a request that finds the upstream unreachable backs it off as before).

--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -157,21 +157,14 @@
         record.unusableUntil = now + misdirectedBackoff;
         return;
     case AttemptOutcome::Unreachable:
-        backOff(now, record);
+        recordUnreachable(now, record);
         return;
     case AttemptOutcome::Abandoned:
         return;
     }
 }
 
-void UpstreamTable::recordUnreachable(TimePoint now, const UpstreamId &id, std::int64_t incarnation)
-{
-    if (UpstreamRecord *record = find(id, incarnation)) {
-        backOff(now, *record);
-    }
-}
-
-void UpstreamTable::backOff(TimePoint now, UpstreamRecord &record)
+void UpstreamTable::recordUnreachable(TimePoint now, UpstreamRecord &record)
 {
     const int doublings = std::min(record.consecutiveUnreachable, maximumBackoffDoublings);
     record.unusableUntil = now + unreachableBackoff * (1 << doublings);
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -84,9 +84,6 @@
     std::optional<NoticeItem>
     recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered);
 
-    /** Records that the upstream accepts no connections, found without an attempt of a request. */
-    void recordUnreachable(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
-
     /** Applies failures and limits seen, and requests sent, by another instance. */
     void applyNotice(TimePoint now, const UpstreamNotice &notice);
 
@@ -114,7 +111,7 @@
 
     void applyLoad(const PeerLoad &load, int sign);
     void applyOutcome(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration duration);
-    static void backOff(TimePoint now, UpstreamRecord &record);
+    static void recordUnreachable(TimePoint now, UpstreamRecord &record);
     UpstreamRecord *findKey(std::uint32_t key);
 
     std::map<UpstreamId, UpstreamRecord> m_records;
--- a/src/proxy/crashdetector.cpp
+++ b/src/proxy/crashdetector.cpp
@@ -30,9 +30,7 @@
     , m_tracker(uniform(random))
     , m_checks(loop,
                [this](const fleet::UpstreamEntry &upstream) {
-                   const TimePoint now = net::now();
-                   m_hooks.onUnreachable(upstream);
-                   onUnreachable(now, fleet::upstreamKey(upstream.id, upstream.incarnation));
+                   onUnreachable(net::now(), fleet::upstreamKey(upstream.id, upstream.incarnation));
                })
     , m_pacer(sharePeriod, sharedDatagramsPerSecond)
 {
--- a/src/proxy/crashdetector.h
+++ b/src/proxy/crashdetector.h
@@ -25,7 +25,6 @@
 struct CrashDetectorHooks {
     std::function<void(const fleet::FleetMessage &)> broadcast; ///< to all live instances
     std::function<void(const fleet::FleetMessage &)> sendToRandom; ///< to a random live instance
-    std::function<void(const fleet::UpstreamEntry &)> onUnreachable; ///< a check found that the upstream accepts no connection
 };
 
 /** Crash detection of one instance. Used on its loop only. */
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -20,9 +20,6 @@
                       },
                       [this](const fleet::FleetMessage &message) {
                           sendToRandom(message);
-                      },
-                      [this](const fleet::UpstreamEntry &upstream) {
-                          upstreams.recordUnreachable(net::now(), upstream.id, upstream.incarnation);
                       }});
 }
 
