Do not count a notice of a limit as a request to the upstream

Evidence: the new test, on the former code: an upstream without any request counts as used. Failures and requests in notices count as before.

--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -183,7 +183,9 @@
     for (const NoticeItem &item : notice.items) {
         if (UpstreamRecord *record = findKey(item.key)) {
             record->grayEstimate.addFailures(now, item.failures);
-            record->lastUsed = now;
+            if (item.failures > 0 || item.begun > 0) {
+                record->lastUsed = now;
+            }
             if (item.limit == noLimit) {
                 record->limit.clear();
             } else if (item.limit) {
--- a/test/correctness/statedlimit_test.cpp
+++ b/test/correctness/statedlimit_test.cpp
@@ -244,6 +244,20 @@
     CHECK_MESSAGE(!isLimited(2), "a late notice about the former process limits the new one");
 }
 
+TEST_CASE("a notice that only tells a limit does not count as a request for the floor")
+{
+    UpstreamTable table;
+    UpstreamEntry entry;
+    entry.id = UpstreamId{"u1"};
+    entry.service = ServiceId{"s"};
+    table.setEntries(start, {entry});
+    const UpstreamRecord &record = *table.find(entry.id, 0);
+    table.applyNotice(start, {{{record.key, 0, 0, 1.0}}});
+    CHECK_MESSAGE(record.lastUsed == TimePoint{}, "the upstream counts as used although it got no request");
+    table.applyNotice(start, {{{record.key, 0, 1, 1.0}}});
+    CHECK(record.lastUsed == start);
+}
+
 TEST_CASE("unusable limits of other instances have no effect")
 {
     StatedLimit limit;
