--- a/test/correctness/crashingrequest_test.cpp
+++ b/test/correctness/crashingrequest_test.cpp
@@ -131,6 +131,17 @@
     CHECK_MESSAGE(fleet.send(0, method, prefix + "other").starts_with("HTTP/1.1 200"), "another request is refused as well");
 }
 
+TEST_CASE("a request that crashes upstreams is not retried at a third one when the retry budget allows it")
+{
+    CrashingFleet fleet(1);
+    // Earns the retry budget that two retries need.
+    for (int request = 0; request < 40; ++request) {
+        fleet.send(0, "GET", "/safe/other");
+    }
+    fleet.send(0, "GET", "/safe/deadly");
+    CHECK_MESSAGE(fleet.deadlyRuns() == 2, "it reached upstreams " << fleet.deadlyRuns() << " times");
+}
+
 TEST_CASE("an instance that starts later does not send a request to upstreams that it has crashed before")
 {
     CrashingFleet fleet(2);
