Test the Retry-After of a request that stated limits keep out

The tests of LIMIT looked for the header, not for its value. Seen to fail with the wait left out of the answer (0.66 s where 4 s are due).

--- a/test/correctness/upstreamlimit_test.cpp
+++ b/test/correctness/upstreamlimit_test.cpp
@@ -140,6 +140,14 @@
         }
     }
 
+    /** Sends a request to the first instance and returns its answer. */
+    std::string send(const std::string &method, const std::string &path)
+    {
+        RawClient client(m_instances.front()->callersPort());
+        client.send(callerRequest(method, path, "id-" + std::to_string(++m_sent), ""));
+        return client.receiveAnswer();
+    }
+
     int served() const
     {
         return m_served;
@@ -207,3 +215,16 @@
     CHECK_MESSAGE(fleet.badAnswers() == 0, "a request that cannot be sent was not refused at once with a time to come back");
     CHECK_MESSAGE(fleet.served() >= 9 * 3.5 / 2, "the limits leave room for more than the " << fleet.served() << " served requests");
 }
+
+TEST_CASE("a request that the limits of all upstreams keep out is told when to come back")
+{
+    LimitedUpstream limited("0.25");
+    LimitedFleet fleet({&limited});
+    REQUIRE(fleet.send("GET", "/safe/a").starts_with("HTTP/1.1 200"));
+    const std::string answer = fleet.send("GET", "/safe/a");
+    REQUIRE_MESSAGE(answer.starts_with("HTTP/1.1 503"), "the second request was not refused");
+    const std::string header = "Retry-After: ";
+    const double seconds = std::stod(answer.substr(answer.find(header) + header.size()));
+    // The upstream takes the next request four seconds after its answer.
+    CHECK_MESSAGE(seconds > 3, "told to come back after " << seconds << " s");
+}
