Take work for limits and crash evidence off the path of ordinary requests

Found by reading the change again: each answer was classified twice and asked for its sender although no limit was involved; each attempt and answer built a list of identities although no request was suspected; each change of the catalogue built a second map of all upstreams; records were expired ten times a second; and when a whole service ends, each instance logged each suspect of every other instance. Now other instances' findings are logged when they lead to a refusal. The cap of the records holds also when one upstream's end makes many suspects at once. Decisions as before; the tests of crashes, limits, fleet and proxy pass.

--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -58,7 +58,7 @@
         }
         entry = m_brokenConnections.erase(entry);
     }
-    if (m_suspects.size() > maximumRecords) {
+    while (m_suspects.size() > maximumRecords) {
         removeOldest();
     }
     return attributed;
@@ -90,9 +90,6 @@
 
 bool CrashTracker::recordAnswer(TimePoint now, std::uint64_t request)
 {
-    if (m_suspects.empty() && m_brokenConnections.empty()) {
-        return false; // the usual case
-    }
     std::erase_if(m_brokenConnections, [request](const auto &entry) {
         return entry.second.request == request;
     });
@@ -141,6 +138,11 @@
     return changed;
 }
 
+bool CrashTracker::empty() const
+{
+    return m_suspects.empty() && m_brokenConnections.empty();
+}
+
 bool CrashTracker::refused(TimePoint now, std::uint64_t request) const
 {
     const auto found = m_suspects.find(request);
--- a/src/fleet/crashtracker.h
+++ b/src/fleet/crashtracker.h
@@ -60,6 +60,9 @@
     /** Merges a record of another instance. Returns true if it contained something new. */
     bool merge(TimePoint now, const CrashRecord &record);
 
+    /** Returns true if nothing is recorded, so that attempts and answers have no effect. */
+    bool empty() const;
+
     /** Returns true if the request must not be run now. */
     bool refused(TimePoint now, std::uint64_t request) const;
 
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -33,10 +33,6 @@
 std::vector<std::uint32_t> UpstreamTable::setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries)
 {
     std::map<UpstreamId, UpstreamRecord> records;
-    std::map<std::uint32_t, UpstreamStatus> before;
-    for (const auto &[id, record] : m_records) {
-        before.emplace(record.key, record.entry.status);
-    }
     for (const UpstreamEntry &entry : entries) {
         const auto known = m_records.find(entry.id);
         UpstreamRecord record;
@@ -55,9 +51,9 @@
             record.coldUntil = now + entry.warmupLeft;
         }
         record.entry = entry;
-        before.erase(record.key);
         records.emplace(entry.id, std::move(record));
     }
+    const std::vector<std::uint32_t> gone = goneWithoutNotice(records);
     m_records = std::move(records);
     m_byService.clear();
     m_byKey.clear();
@@ -65,10 +61,17 @@
         m_byService[record.entry.service].push_back(&record);
         m_byKey[record.key] = &record;
     }
+    return gone;
+}
+
+std::vector<std::uint32_t> UpstreamTable::goneWithoutNotice(const std::map<UpstreamId, UpstreamRecord> &present) const
+{
     std::vector<std::uint32_t> gone;
-    for (const auto &[key, status] : before) {
-        if (status == UpstreamStatus::Ready) {
-            gone.push_back(key);
+    for (const auto &[id, record] : m_records) {
+        const auto found = present.find(id);
+        const bool stays = found != present.end() && found->second.key == record.key;
+        if (!stays && record.entry.status == UpstreamStatus::Ready) {
+            gone.push_back(record.key);
         }
     }
     return gone;
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -109,6 +109,7 @@
         std::vector<LoadItem> items;
     };
 
+    std::vector<std::uint32_t> goneWithoutNotice(const std::map<UpstreamId, UpstreamRecord> &present) const;
     void applyLoad(const PeerLoad &load, int sign);
     void applyOutcome(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration duration);
     static void recordUnreachable(TimePoint now, UpstreamRecord &record);
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -78,10 +78,8 @@
 void Attempt::onHead(const MessageHead &head)
 {
     m_result.head = head;
-    if (isOwnAnswer(head, m_requestId, m_protocol.names)) {
-        m_result.signals = m_protocol.decodeSignals(head.headers);
-        m_hooks.onHead(*this);
-    }
+    m_result.signals = m_protocol.decodeSignals(head.headers);
+    m_hooks.onHead(*this);
 }
 
 void Attempt::onBody(std::string_view bytes)
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -25,7 +25,7 @@
 struct AttemptResult {
     AnswerClassification classification;
     MessageHead head;
-    fleet::UpstreamSignals signals;
+    fleet::UpstreamSignals signals; ///< of the sender of the head, which may not be the upstream, see isOwnAnswer
     std::string body;
     Duration took{};
     bool newConnection = false;
@@ -37,7 +37,7 @@
 {
 public:
     struct Hooks {
-        std::function<void(const Attempt &)> onHead; ///< the head of the upstream's own answer has arrived, see isOwnAnswer
+        std::function<void(const Attempt &)> onHead; ///< the head of the answer has arrived
         std::function<void(Attempt &)> onEnd; ///< result() is set; the attempt may be destroyed
         /** The answer exceeds the buffer limit. Returns true to stream it: the rest arrives through onBodyChunk. */
         std::function<bool(Attempt &)> onBufferFull;
--- a/src/proxy/crashdetector.cpp
+++ b/src/proxy/crashdetector.cpp
@@ -53,6 +53,9 @@
 
 void CrashDetector::onAttempt(TimePoint now, const fleet::RequestFingerprint &request)
 {
+    if (m_tracker.empty()) {
+        return; // the usual case
+    }
     for (const std::uint64_t identity : request.identities()) {
         m_tracker.recordAttempt(now, identity);
     }
@@ -73,6 +76,9 @@
 
 void CrashDetector::onAnswer(TimePoint now, const fleet::RequestFingerprint &request)
 {
+    if (m_tracker.empty()) {
+        return; // the usual case
+    }
     for (const std::uint64_t identity : request.identities()) {
         if (m_tracker.recordAnswer(now, identity)) {
             m_unshared.insert(identity);
@@ -106,8 +112,13 @@
 void CrashDetector::receive(TimePoint now, const fleet::CrashReport &report, const InstanceId &from)
 {
     for (const fleet::CrashRecord &record : report.records) {
-        if (m_tracker.merge(now, record) && !record.upstreams.empty()) {
-            m_metrics.countCrash("other-instance");
+        const bool refusedBefore = m_tracker.refused(now, record.request);
+        if (!m_tracker.merge(now, record) || record.upstreams.empty()) {
+            continue;
+        }
+        m_metrics.countCrash("other-instance");
+        // When a whole service ends, there are many suspects, and all instances learn of each.
+        if (!refusedBefore && m_tracker.refused(now, record.request)) {
             logCrash(record.request, record.upstreams, m_tracker.crashes(record.request), from.value);
         }
     }
@@ -143,12 +154,12 @@
 {
     m_pacer.setReceivers(instances);
     share(now);
-    m_tracker.expire(now);
-    m_checks.expire(now);
     if (now < m_nextRepeat) {
         return;
     }
     m_nextRepeat = now + repeatPeriod;
+    m_tracker.expire(now);
+    m_checks.expire(now);
     const fleet::CrashReport report{m_tracker.records(now, maximumRepeatedRecords)};
     if (!report.records.empty()) {
         m_hooks.sendToRandom(report);
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -8,6 +8,11 @@
 {
     const AttemptResult &result = attempt.result();
     const fleet::UpstreamEntry &upstream = attempt.upstream();
+    const fleet::UpstreamRecord *record = m_context.upstreams.find(upstream.id, upstream.incarnation);
+    const bool concernsLimit = record != nullptr && (result.signals.requestLimit || record->limit.active());
+    if (!concernsLimit || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
+        return;
+    }
     const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
     const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
     if (notice) {
