--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -32,8 +32,8 @@
     json out = json::array();
     for (const NoticeItem &item : notice.items) {
         json fields = json::array({item.key, item.failures, item.begun});
-        if (item.limit) {
-            fields.push_back(*item.limit);
+        if (item.rateLimit) {
+            fields.push_back(*item.rateLimit);
         }
         out.push_back(std::move(fields));
     }
@@ -116,7 +116,7 @@
         NoticeItem decoded{item.at(0).get<std::uint32_t>(), item.at(1).get<int>(), item.at(2).get<int>()};
         constexpr std::size_t limitIndex = 3; // not sent by instances of an earlier version
         if (item.size() > limitIndex) {
-            decoded.limit = item.at(limitIndex).get<double>();
+            decoded.rateLimit = item.at(limitIndex).get<double>();
         }
         notice.items.push_back(decoded);
     }
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -51,15 +51,15 @@
 /** Hash that identifies a service in messages between instances. */
 std::uint32_t serviceKey(const ServiceId &service);
 
-/** Value of NoticeItem::limit for an upstream that states no limit any more. */
-constexpr double noLimit = std::numeric_limits<double>::infinity();
+/** Value of NoticeItem::rateLimit for an upstream whose rate limit has ended. */
+constexpr double noRateLimit = std::numeric_limits<double>::infinity();
 
 /** Failures at one upstream, and requests sent to it, since the sender's previous notice. */
 struct NoticeItem {
     std::uint32_t key = 0; ///< see upstreamKey
     int failures = 0;
-    int begun = 0; ///< requests to an upstream that states a limit, or that no instance had used recently
-    std::optional<double> limit = std::nullopt; ///< requests a second that the upstream takes from all instances, or noLimit
+    int begun = 0; ///< requests to a rate-limited upstream, or to one that no instance had used recently
+    std::optional<double> rateLimit = std::nullopt; ///< requests a second for the whole fleet, or noRateLimit
 
     bool operator==(const NoticeItem &) const = default;
 };
--- a/src/fleet/statedlimit.cpp
+++ b/src/fleet/fleetratelimit.cpp
@@ -1,4 +1,4 @@
-#include "fleet/statedlimit.h"
+#include "fleet/fleetratelimit.h"
 
 #include <algorithm>
 
@@ -6,58 +6,58 @@
 
 namespace {
 
-/** Requests a second below which a limit has no further effect. Answers to a few requests tell when the limit ends. */
+/** Lower bound in requests a second, since only the answer to a request tells that a limit has ended. */
 constexpr double minimumRate = 0.1;
-/** A higher limit is of no interest to one service. */
+/** Upper bound in requests a second, which keeps the arithmetic finite. */
 constexpr double maximumRate = 1e6;
-/** Requests of this time may be sent at once after a pause. */
+/** Size of the bucket, as the requests of this time. */
 constexpr Duration burstTime = std::chrono::milliseconds{250};
-/** At most the requests of this time are paid back, so that an upstream is not left without any for long. */
+/** Maximum debt, as the requests of this time, so that a wrong count does not keep requests from an upstream for long. */
 constexpr Duration maximumDebtTime = std::chrono::seconds{4};
-/** Time until the other instances know of a request: the period of notices and the way. */
+/** Time until the other instances know of a request: the period of notices and the transmission. */
 constexpr Duration noticeTime = std::chrono::milliseconds{50};
 
 } // namespace
 
-void StatedLimit::set(TimePoint now, double requestsPerSecond)
+void FleetRateLimit::set(TimePoint now, double requestsPerSecond)
 {
     if (!(requestsPerSecond >= 0)) {
         return;
     }
-    // Requests that the upstream got just before are not known here, so a new limit begins without a free token.
+    // The bucket starts empty, since recent requests of other instances are unknown.
     m_tokens = m_active ? tokens(now) : 0;
     m_updated = now;
     m_active = true;
-    m_stated = std::min(requestsPerSecond, maximumRate);
+    m_announced = std::min(requestsPerSecond, maximumRate);
 }
 
-void StatedLimit::clear()
+void FleetRateLimit::clear()
 {
     m_active = false;
 }
 
-bool StatedLimit::active() const
+bool FleetRateLimit::active() const
 {
     return m_active;
 }
 
-double StatedLimit::requestsPerSecond() const
+double FleetRateLimit::requestsPerSecond() const
 {
-    return m_stated;
+    return m_announced;
 }
 
-double StatedLimit::rate() const
+double FleetRateLimit::rate() const
 {
-    return std::max(m_stated, minimumRate);
+    return std::max(m_announced, minimumRate);
 }
 
-double StatedLimit::tokens(TimePoint now) const
+double FleetRateLimit::tokens(TimePoint now) const
 {
     const double mostTokens = std::max(1.0, rate() * toSeconds(burstTime));
     return std::min(mostTokens, m_tokens + rate() * toSeconds(now - m_updated));
 }
 
-void StatedLimit::count(TimePoint now, int requests)
+void FleetRateLimit::count(TimePoint now, int requests)
 {
     if (!m_active) {
         return;
@@ -67,13 +67,13 @@
     m_updated = now;
 }
 
-Duration StatedLimit::timeUntilAllowed(TimePoint now) const
+Duration FleetRateLimit::timeUntilAllowed(TimePoint now) const
 {
     const double missing = m_active ? 1 - tokens(now) : 0;
     return missing <= 0 ? Duration::zero() : fromSeconds(missing / rate());
 }
 
-double StatedLimit::fairShare(double serviceRequestsPerSecond)
+double FleetRateLimit::admissionProbability(double serviceRequestsPerSecond)
 {
     return std::min(1.0, 1 / std::max(1.0, serviceRequestsPerSecond * toSeconds(noticeTime)));
 }
--- a/src/fleet/noticequeue.cpp
+++ b/src/fleet/noticequeue.cpp
@@ -13,7 +13,7 @@
     waiting.key = item.key;
     waiting.failures += item.failures;
     waiting.begun += item.begun;
-    waiting.limit = item.limit ? item.limit : waiting.limit;
+    waiting.rateLimit = item.rateLimit ? item.rateLimit : waiting.rateLimit;
 }
 
 bool NoticeQueue::due(TimePoint now) const
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -198,8 +198,8 @@
         return "no-upstream";
     case ChoiceReason::NoRoom:
         return "no-room";
-    case ChoiceReason::AtLimit:
-        return "at-limit";
+    case ChoiceReason::RateLimited:
+        return "rate-limited";
     }
     return "no-upstream";
 }
@@ -208,9 +208,9 @@
 {
     UpstreamChoice choice;
     double best = std::numeric_limits<double>::max();
-    Duration shortestWait = Duration::max(); // until a stated limit allows a request
+    Duration shortestWait = Duration::max(); // until a rate limit allows a request
     bool canHaveRoomSoon = false;
-    const double limitShare = StatedLimit::fairShare(request.requestsPerSecond);
+    const double admission = FleetRateLimit::admissionProbability(request.requestsPerSecond);
     const double medianLatencySeconds = table.medianLatencySeconds(request.service);
     Coverage coverage;
     for (UpstreamRecord *record : table.ofService(request.service)) {
@@ -218,12 +218,12 @@
             continue;
         }
         ++choice.ready;
-        const Duration wait = record->limit.timeUntilAllowed(now);
+        const Duration wait = record->rateLimit.timeUntilAllowed(now);
         if (wait > Duration::zero()) {
             shortestWait = std::min(shortestWait, wait);
             continue;
         }
-        const bool leftToOthers = record->limit.active() && uniform(random) >= limitShare;
+        const bool leftToOthers = record->rateLimit.active() && uniform(random) >= admission;
         if (!hasRoom(now, *record) || leftToOthers) {
             canHaveRoomSoon = true;
             continue;
@@ -250,7 +250,7 @@
     } else if (canHaveRoomSoon) {
         choice.reason = ChoiceReason::NoRoom;
     } else if (choice.ready > 0) {
-        choice.reason = ChoiceReason::AtLimit;
+        choice.reason = ChoiceReason::RateLimited;
         choice.wait = shortestWait;
     }
     return choice;
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -37,7 +37,7 @@
     Coverage, ///< no instance has used this upstream recently
     NoUpstream, ///< the service has no ready upstream
     NoRoom, ///< all ready upstreams are at capacity
-    AtLimit, ///< all ready upstreams get as many requests as they state that they take
+    RateLimited, ///< the rate limits of all ready upstreams are used up
 };
 
 /** Result of a choice. */
@@ -47,7 +47,7 @@
     double grayProbability = 0; ///< probability that the chosen upstream is in a gray failure
     double cost = 0;
     int ready = 0; ///< number of usable upstreams
-    Duration wait{}; ///< with AtLimit: time until the first of them takes a request
+    Duration wait{}; ///< with RateLimited: time until one of them allows a request
 };
 
 /** Returns the name used in logs, such as "least-cost". */
--- a/src/fleet/upstreamsignals.h
+++ b/src/fleet/upstreamsignals.h
@@ -1,4 +1,4 @@
-/** What an upstream says about itself in the head of an answer. Decoded by the platform adapter. */
+/** State that an upstream reports about itself in the head of an answer. Decoded by the platform adapter. */
 #pragma once
 
 #include <optional>
@@ -7,8 +7,8 @@
 
 /** Signals of one answer. */
 struct UpstreamSignals {
-    /** Requests a second that the upstream takes from all instances together, while its answers say so. */
-    std::optional<double> requestLimit;
+    /** Fleet-wide rate limit in requests a second, in force while answers announce it. */
+    std::optional<double> rateLimit;
 
     bool operator==(const UpstreamSignals &) const = default;
 };
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -102,10 +102,10 @@
     ++record.ownInFlight;
     ++record.unreportedBegun;
     record.lastUsed = now;
-    record.limit.count(now, 1);
-    if (record.limit.active()) {
-        // The limit is repeated, for instances that missed it.
-        return NoticeItem{record.key, 0, 1, record.limit.requestsPerSecond()};
+    record.rateLimit.count(now, 1);
+    if (record.rateLimit.active()) {
+        // Repeated for instances that missed the announcement.
+        return NoticeItem{record.key, 0, 1, record.rateLimit.requestsPerSecond()};
     }
     return idle ? std::optional(NoticeItem{record.key, 0, 1}) : std::nullopt;
 }
@@ -117,17 +117,17 @@
     if (record == nullptr) {
         return std::nullopt;
     }
-    StatedLimit &limit = record->limit;
-    if (!signals.requestLimit) {
+    FleetRateLimit &limit = record->rateLimit;
+    if (!signals.rateLimit) {
         const bool ends = answered && limit.active();
         if (ends) {
             limit.clear();
         }
-        return ends ? std::optional(NoticeItem{record->key, 0, 0, noLimit}) : std::nullopt;
+        return ends ? std::optional(NoticeItem{record->key, 0, 0, noRateLimit}) : std::nullopt;
     }
-    const bool known = limit.active() && limit.requestsPerSecond() == *signals.requestLimit;
-    limit.set(now, *signals.requestLimit);
-    return known ? std::nullopt : std::optional(NoticeItem{record->key, 0, 0, signals.requestLimit});
+    const bool known = limit.active() && limit.requestsPerSecond() == *signals.rateLimit;
+    limit.set(now, *signals.rateLimit);
+    return known ? std::nullopt : std::optional(NoticeItem{record->key, 0, 0, signals.rateLimit});
 }
 
 void UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
@@ -189,12 +189,12 @@
             if (item.failures > 0 || item.begun > 0) {
                 record->lastUsed = now;
             }
-            if (item.limit == noLimit) {
-                record->limit.clear();
-            } else if (item.limit) {
-                record->limit.set(now, *item.limit);
+            if (item.rateLimit == noRateLimit) {
+                record->rateLimit.clear();
+            } else if (item.rateLimit) {
+                record->rateLimit.set(now, *item.rateLimit);
             }
-            record->limit.count(now, item.begun);
+            record->rateLimit.count(now, item.begun);
         }
     }
 }
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "fleet/fleetmessage.h"
-#include "fleet/statedlimit.h"
+#include "fleet/fleetratelimit.h"
 #include "fleet/upstreamentry.h"
 #include "fleet/upstreamsignals.h"
 #include "health/grayepisodeestimator.h"
@@ -42,7 +42,7 @@
     TimePoint fullUntil{}; ///< end of the backoff after it rejected a request
     TimePoint unusableUntil{}; ///< end of the backoff after it was unreachable or its address belonged to another upstream
     int consecutiveUnreachable = 0;
-    StatedLimit limit; ///< requests that it takes from all instances together
+    FleetRateLimit rateLimit; ///< announced by the upstream
     double meanLatencySeconds = 0; ///< moving mean over successful answers; zero before the first
     TimePoint lastUsed{}; ///< last request of any instance; the epoch before the first
     int unreportedSuccesses = 0; ///< own successes since the last load report
@@ -70,7 +70,7 @@
     UpstreamRecord *find(const UpstreamId &id, std::int64_t incarnation);
 
     /** Records the start of an attempt. Returns what the other instances should know before the next load report: a request to
-     * an upstream that was idle, which they would choose for the same reason, or that states a limit. */
+     * an upstream that was idle, which they would choose for the same reason, or that is rate-limited. */
     std::optional<NoticeItem> beginAttempt(TimePoint now, UpstreamRecord &record);
 
     /** Records the end of an attempt. Takes an id, because the record may have been removed in the meantime. */
@@ -79,12 +79,12 @@
     /** Records that an attempt is overdue, which counts as a failure. Must be called at most once per attempt. */
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
-    /** Records what the upstream said about itself in an answer. answered: the answer reports no failure; only such an answer
-     * without a limit ends the limit. Returns what the other instances should know, if it is news. */
+    /** Records the signals of an answer. answered: the answer reports no failure; only such an answer ends a rate limit by not
+     * announcing it. Returns what the other instances should know, if anything has changed. */
     std::optional<NoticeItem>
     recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered);
 
-    /** Applies failures and limits seen, and requests sent, by another instance. */
+    /** Applies failures and rate limits seen, and requests sent, by another instance. */
     void applyNotice(TimePoint now, const UpstreamNotice &notice);
 
     /** Applies another instance's finding that the address belongs to another upstream. */
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -17,8 +17,8 @@
 /** This system's own topic, in which its instances register. */
 inline constexpr const char *instanceTopic = "keyed.instances";
 
-/** Requests a second that an upstream takes from all instances together, in its answers while it needs that. */
-inline constexpr const char *requestLimitHeader = "Server-Limit";
+/** Header of answers: the upstream's fleet-wide rate limit in requests a second. */
+inline constexpr const char *rateLimitHeader = "Server-Limit";
 
 /** Headers of requests and answers. */
 inline proxy::HeaderNames headers()
--- a/src/platform/upstreamheaders.cpp
+++ b/src/platform/upstreamheaders.cpp
@@ -15,7 +15,7 @@
 /** Bytes of an unusable value in a log line. */
 constexpr std::size_t loggedBytes = 40;
 
-/** Decimal number from zero, or nullopt. */
+/** Non-negative decimal number, or nullopt. */
 std::optional<double> parseRate(std::string_view text)
 {
     double value = 0;
@@ -30,16 +30,16 @@
 {
     fleet::UpstreamSignals signals;
     for (const net::Header &header : headers) {
-        if (!net::equalsIgnoreCase(header.name, names::requestLimitHeader)) {
+        if (!net::equalsIgnoreCase(header.name, names::rateLimitHeader)) {
             continue;
         }
         const auto limit = parseRate(header.value);
         if (limit) {
-            signals.requestLimit = std::min(*limit, signals.requestLimit.value_or(*limit));
+            signals.rateLimit = std::min(*limit, signals.rateLimit.value_or(*limit));
         } else {
             telemetry::writeLog(telemetry::LogLevel::Warning,
                                 "decode answer",
-                                "ignoring a request limit that is not a number from zero",
+                                "ignoring a rate limit that is not a non-negative number",
                                 {{"value", header.value.substr(0, loggedBytes)}});
         }
     }
--- a/src/proxy/crashdetector.h
+++ b/src/proxy/crashdetector.h
@@ -1,8 +1,8 @@
 /** Finds requests that crash upstreams, together with the other instances.
  *
- * Connects fleet::CrashTracker, which decides, with its evidence and with the other instances: a new finding is sent to all of
- * them at once, and the latest findings go to a randomly chosen one again and again. The repeats reach instances that were
- * started, cut off or paused meanwhile, or missed a datagram.
+ * Supplies fleet::CrashTracker, which decides, with evidence, and exchanges its records: a new record is broadcast, and the
+ * latest ones are sent to a random instance periodically, for instances that have started, were cut off or paused, or missed
+ * a datagram.
  */
 #pragma once
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -147,7 +147,7 @@
 
 void Exchange::waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice)
 {
-    const bool inTime = choice.reason != fleet::ChoiceReason::AtLimit || now + choice.wait < m_capacityDeadline;
+    const bool inTime = choice.reason != fleet::ChoiceReason::RateLimited || now + choice.wait < m_capacityDeadline;
     if (now < m_capacityDeadline && inTime) {
         m_waitTimer.set(capacityPollPeriod);
         return;
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -9,16 +9,16 @@
     const AttemptResult &result = attempt.result();
     const fleet::UpstreamEntry &upstream = attempt.upstream();
     const fleet::UpstreamRecord *record = m_context.upstreams.find(upstream.id, upstream.incarnation);
-    const bool concernsLimit = record != nullptr && (result.signals.requestLimit || record->limit.active());
-    if (!concernsLimit || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
+    const bool concernsRateLimit = record != nullptr && (result.signals.rateLimit || record->rateLimit.active());
+    if (!concernsRateLimit || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
         return;
     }
     const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
     const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
     if (notice) {
         m_context.reportEvents(*notice);
-        m_context.metrics.countLimitChange(result.signals.requestLimit ? "stated" : "ended");
-        logLimit(m_requestId, m_service, upstream, result.signals.requestLimit);
+        m_context.metrics.countRateLimitChange(result.signals.rateLimit ? "announced" : "ended");
+        logRateLimit(m_requestId, m_service, upstream, result.signals.rateLimit);
     }
 }
 
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -59,24 +59,24 @@
                                 {"ready", std::to_string(choice.ready)},
                                 {"configuration", std::to_string(table.version())},
                                 {"attempt", std::to_string(attempt)}};
-    if (record.limit.active()) {
-        fields.emplace_back("limit", decimals(record.limit.requestsPerSecond()));
+    if (record.rateLimit.active()) {
+        fields.emplace_back("rate-limit", decimals(record.rateLimit.requestsPerSecond()));
     }
     telemetry::writeLog(LogLevel::Info, "choose upstream", fleet::reasonName(choice.reason), fields);
 }
 
-void logLimit(const std::string &requestId,
-              const ServiceId &service,
-              const fleet::UpstreamEntry &upstream,
-              const std::optional<double> &requestsPerSecond)
+void logRateLimit(const std::string &requestId,
+                  const ServiceId &service,
+                  const fleet::UpstreamEntry &upstream,
+                  const std::optional<double> &requestsPerSecond)
 {
     telemetry::writeLog(LogLevel::Info,
-                        "upstream limit",
-                        requestsPerSecond ? "stated" : "ended",
+                        "upstream rate limit",
+                        requestsPerSecond ? "announced" : "ended",
                         {{"request", requestId},
                          {"service", service.value},
                          {"upstream", upstream.id.value},
-                         {"limit", requestsPerSecond ? decimals(*requestsPerSecond) : ""}});
+                         {"rate-limit", requestsPerSecond ? decimals(*requestsPerSecond) : ""}});
 }
 
 void logAttempt(const std::string &requestId,
@@ -92,8 +92,8 @@
                                 {"status", std::to_string(result.head.status)},
                                 {"new-connection", result.newConnection ? "yes" : "no"},
                                 {"ms", milliseconds(attempt.age(now))}};
-    if (result.signals.requestLimit) {
-        fields.emplace_back("limit", decimals(*result.signals.requestLimit));
+    if (result.signals.rateLimit) {
+        fields.emplace_back("rate-limit", decimals(*result.signals.rateLimit));
     }
     if (result.classification.end == routing::AttemptEnd::Broken) {
         fields.emplace_back("fingerprint", identities(fingerprint));
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -26,11 +26,11 @@
                 const fleet::RequestFingerprint &fingerprint,
                 TimePoint now);
 
-/** Logs that an upstream states a limit, another one than before, or none any more (nullopt). */
-void logLimit(const std::string &requestId,
-              const ServiceId &service,
-              const fleet::UpstreamEntry &upstream,
-              const std::optional<double> &requestsPerSecond);
+/** Logs that an upstream announces a new or changed rate limit, or none any more (nullopt). */
+void logRateLimit(const std::string &requestId,
+                  const ServiceId &service,
+                  const fleet::UpstreamEntry &upstream,
+                  const std::optional<double> &requestsPerSecond);
 
 /** Logs that a request probably crashed upstreams. crashes: of that request so far. source: who found it, "own" or an
  * instance. */
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -26,8 +26,8 @@
     prometheus::Family<prometheus::Counter> &attempts = counter(registry, "jackdawdoor_attempts_total", "Attempts by service and end");
     prometheus::Family<prometheus::Counter> &crashes =
         counter(registry, "jackdawdoor_upstream_crashes_total", "Crashes of upstreams by a request, by source of the finding");
-    prometheus::Family<prometheus::Counter> &limitChanges =
-        counter(registry, "jackdawdoor_upstream_limit_changes_total", "Changes of the limits that upstreams state in their answers");
+    prometheus::Family<prometheus::Counter> &rateLimitChanges =
+        counter(registry, "jackdawdoor_upstream_rate_limit_changes_total", "Changes of the rate limits that upstreams announce");
     prometheus::Family<prometheus::Counter> &storeCalls =
         counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
@@ -62,9 +62,9 @@
     m_families->crashes.Add({{"source", std::string(source)}}).Increment();
 }
 
-void ProxyMetrics::countLimitChange(std::string_view change)
+void ProxyMetrics::countRateLimitChange(std::string_view change)
 {
-    m_families->limitChanges.Add({{"change", std::string(change)}}).Increment();
+    m_families->rateLimitChanges.Add({{"change", std::string(change)}}).Increment();
 }
 
 void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -27,8 +27,8 @@
     /** Counts a crash of an upstream by a request. source: who found it, "own" or "other-instance". */
     void countCrash(std::string_view source);
 
-    /** Counts a change of an upstream's limit that an own answer told. change: "stated" or "ended". */
-    void countLimitChange(std::string_view change);
+    /** Counts a change of an upstream's rate limit, found in an answer to this instance. change: "announced" or "ended". */
+    void countRateLimitChange(std::string_view change);
 
     /** Counts an ended call to the store. */
     void countStoreCall(std::string_view call, bool succeeded);
--- a/src/proxy/upstreamprotocol.h
+++ b/src/proxy/upstreamprotocol.h
@@ -9,7 +9,7 @@
 
 namespace jackdawdoor::proxy {
 
-/** Header names, and the decoder of what an upstream says about itself. */
+/** Header names, and the decoder of the state that upstreams report about themselves. */
 struct UpstreamProtocol {
     HeaderNames names;
     std::function<fleet::UpstreamSignals(const net::Headers &)> decodeSignals;
--- a/test/correctness/crashingrequest_test.cpp
+++ b/test/correctness/crashingrequest_test.cpp
@@ -30,7 +30,7 @@
 constexpr Duration crashTime = std::chrono::milliseconds{1500};
 constexpr int upstreamCount = 12;
 
-/** Upstreams that crash while they run a request whose path ends with "deadly", and instances before them. */
+/** Upstreams that crash while they run a request whose path ends with "crashing", and instances before them. */
 class CrashingFleet
 {
 public:
@@ -41,7 +41,7 @@
             m_upstreams.push_back(std::make_unique<ScriptedUpstream>([](const ReceivedRequest &request) {
                 ScriptedReply reply;
                 const std::string line = request.head.substr(0, request.head.find("\r\n"));
-                if (line.find("deadly") == std::string::npos) {
+                if (line.find("crashing") == std::string::npos) {
                     reply.bytes = ScriptedUpstream::answerTo(request, 200, "ok");
                 } else {
                     reply.crashFor = crashTime;
@@ -81,13 +81,13 @@
         return answer;
     }
 
-    /** Number of times that an upstream began to run the deadly request. */
-    int deadlyRuns()
+    /** Number of times that an upstream began to run the crashing request. */
+    int crashingRuns()
     {
         int runs = 0;
         for (const auto &upstream : m_upstreams) {
             for (const ReceivedRequest &request : upstream->requests()) {
-                runs += request.head.find("deadly") == std::string::npos ? 0 : 1;
+                runs += request.head.find("crashing") == std::string::npos ? 0 : 1;
             }
         }
         return runs;
@@ -125,9 +125,9 @@
         otherQueries = true;
     }
     for (std::size_t repeat = 0; repeat < 12; ++repeat) {
-        fleet.send(repeat, method, prefix + "deadly" + (otherQueries ? "?page=" + std::to_string(repeat) : ""));
+        fleet.send(repeat, method, prefix + "crashing" + (otherQueries ? "?page=" + std::to_string(repeat) : ""));
     }
-    CHECK_MESSAGE(fleet.deadlyRuns() <= allowedRuns, "the request reached upstreams " << fleet.deadlyRuns() << " times");
+    CHECK_MESSAGE(fleet.crashingRuns() <= allowedRuns, "the request reached upstreams " << fleet.crashingRuns() << " times");
     CHECK_MESSAGE(fleet.send(0, method, prefix + "other").starts_with("HTTP/1.1 200"), "another request is refused as well");
 }
 
@@ -138,22 +138,22 @@
     for (int request = 0; request < 40; ++request) {
         fleet.send(0, "GET", "/safe/other");
     }
-    fleet.send(0, "GET", "/safe/deadly");
-    CHECK_MESSAGE(fleet.deadlyRuns() == 2, "it reached upstreams " << fleet.deadlyRuns() << " times");
+    fleet.send(0, "GET", "/safe/crashing");
+    CHECK_MESSAGE(fleet.crashingRuns() == 2, "it reached upstreams " << fleet.crashingRuns() << " times");
 }
 
 TEST_CASE("an instance that starts later does not send a request to upstreams that it has crashed before")
 {
     CrashingFleet fleet(2);
     for (std::size_t repeat = 0; repeat < 4; ++repeat) {
-        fleet.send(repeat, "POST", "/once/deadly");
+        fleet.send(repeat, "POST", "/once/crashing");
     }
     for (int number = 3; number <= 8; ++number) {
         fleet.startInstance("edge-" + std::to_string(number));
         fleet.stopFirstInstance();
         // The rule counts from three seconds after the start of an instance.
         std::this_thread::sleep_for(std::chrono::seconds{3});
-        fleet.send(1, "POST", "/once/deadly");
+        fleet.send(1, "POST", "/once/crashing");
     }
-    CHECK_MESSAGE(fleet.deadlyRuns() <= allowedRuns, "the request reached upstreams " << fleet.deadlyRuns() << " times");
+    CHECK_MESSAGE(fleet.crashingRuns() <= allowedRuns, "the request reached upstreams " << fleet.crashingRuns() << " times");
 }
--- a/test/correctness/crashtracker_test.cpp
+++ b/test/correctness/crashtracker_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 const TimePoint start{std::chrono::hours{1}};
-constexpr std::uint64_t deadly = 42;
+constexpr std::uint64_t crashing = 42;
 
 void crash(CrashTracker &tracker, TimePoint now, std::uint64_t request, std::uint32_t upstream)
 {
@@ -76,16 +76,16 @@
     bool receiveRequest(TimePoint now)
     {
         Instance &instance = m_instances[m_random() % instanceCount];
-        if (instance.tracker.refused(now, deadly)) {
+        if (instance.tracker.refused(now, crashing)) {
             return false;
         }
-        instance.tracker.recordAttempt(now, deadly);
+        instance.tracker.recordAttempt(now, crashing);
         const bool counts = m_crashes >= 3 && now - m_thirdCrash > seconds{3} && now - instance.started > seconds{3};
-        crash(instance.tracker, now, deadly, static_cast<std::uint32_t>(++m_crashes));
+        crash(instance.tracker, now, crashing, static_cast<std::uint32_t>(++m_crashes));
         if (m_crashes == 3) {
             m_thirdCrash = now;
         }
-        const CrashRecord record = instance.tracker.record(now + milliseconds{20}, deadly);
+        const CrashRecord record = instance.tracker.record(now + milliseconds{20}, crashing);
         for (Instance &other : m_instances) {
             if (!isLost()) {
                 other.tracker.merge(now + milliseconds{25}, record);
@@ -118,12 +118,12 @@
 {
     CrashTracker tracker;
     for (std::uint32_t upstream = 1; upstream <= 2; ++upstream) {
-        tracker.recordBrokenConnection(start, deadly, upstream);
-        CHECK_MESSAGE(!tracker.refused(start, deadly), "refused before two upstreams crashed");
+        tracker.recordBrokenConnection(start, crashing, upstream);
+        CHECK_MESSAGE(!tracker.refused(start, crashing), "refused before two upstreams crashed");
         const auto attributed = tracker.recordUnreachable(start + milliseconds{300}, upstream);
-        REQUIRE(attributed == std::vector<std::uint64_t>{deadly});
+        REQUIRE(attributed == std::vector<std::uint64_t>{crashing});
     }
-    CHECK(tracker.refused(start + seconds{1}, deadly));
+    CHECK(tracker.refused(start + seconds{1}, crashing));
     tracker.recordBrokenConnection(start, 43, 9);
     CHECK_MESSAGE(tracker.recordUnreachable(start + seconds{5}, 9).empty(),
                   "a reset long before the upstream became unreachable counts as a crash");
@@ -132,15 +132,15 @@
 TEST_CASE("a crash is recognised when the upstream is back at once and only its entry is replaced")
 {
     CrashTracker tracker;
-    tracker.recordBrokenConnection(start, deadly, 1);
+    tracker.recordBrokenConnection(start, crashing, 1);
     CHECK(tracker.recordRemoved(start + seconds{5}, 1).size() == 1);
-    CHECK(tracker.crashes(deadly) == 1);
+    CHECK(tracker.crashes(crashing) == 1);
 }
 
 TEST_CASE("a refused connection that comes too late as proof leaves the proof by a replaced entry open")
 {
     CrashTracker tracker;
-    tracker.recordBrokenConnection(start, deadly, 1);
+    tracker.recordBrokenConnection(start, crashing, 1);
     CHECK(tracker.recordUnreachable(start + seconds{3}, 1).empty());
     CHECK_MESSAGE(tracker.recordRemoved(start + seconds{5}, 1).size() == 1, "the broken connection was forgotten");
 }
@@ -149,27 +149,27 @@
 {
     CrashTracker first;
     CrashTracker second;
-    crash(first, start, deadly, 1);
-    crash(first, start, deadly, 2);
-    second.merge(start + seconds{1}, first.record(start + seconds{1}, deadly));
-    REQUIRE(second.refused(start + seconds{1}, deadly));
+    crash(first, start, crashing, 1);
+    crash(first, start, crashing, 2);
+    second.merge(start + seconds{1}, first.record(start + seconds{1}, crashing));
+    REQUIRE(second.refused(start + seconds{1}, crashing));
     const TimePoint later = start + seconds{40};
-    REQUIRE_MESSAGE(!second.refused(later, deadly), "no attempt is allowed after the refusal time");
-    second.recordAttempt(later, deadly);
-    CHECK_MESSAGE(second.refused(later, deadly), "more than one attempt is allowed at a time");
-    CHECK(second.recordAnswer(later, deadly));
-    CHECK(!second.refused(later, deadly));
-    first.merge(later, second.record(later, deadly));
-    CHECK_MESSAGE(!first.refused(later, deadly), "the clearance did not reach the other instance");
-    second.merge(later, {deadly, 0, {}, {1, 2}});
-    CHECK_MESSAGE(!second.refused(later, deadly), "an old record undid the clearance");
+    REQUIRE_MESSAGE(!second.refused(later, crashing), "no attempt is allowed after the refusal time");
+    second.recordAttempt(later, crashing);
+    CHECK_MESSAGE(second.refused(later, crashing), "more than one attempt is allowed at a time");
+    CHECK(second.recordAnswer(later, crashing));
+    CHECK(!second.refused(later, crashing));
+    first.merge(later, second.record(later, crashing));
+    CHECK_MESSAGE(!first.refused(later, crashing), "the clearance did not reach the other instance");
+    second.merge(later, {crashing, 0, {}, {1, 2}});
+    CHECK_MESSAGE(!second.refused(later, crashing), "an old record undid the clearance");
 }
 
 TEST_CASE("an answer after a broken connection keeps the request from being suspected of a later crash")
 {
     CrashTracker tracker;
-    tracker.recordBrokenConnection(start, deadly, 1);
-    CHECK(!tracker.recordAnswer(start + milliseconds{10}, deadly));
+    tracker.recordBrokenConnection(start, crashing, 1);
+    CHECK(!tracker.recordAnswer(start + milliseconds{10}, crashing));
     CHECK(tracker.recordUnreachable(start + milliseconds{20}, 1).empty());
 }
 
--- a/test/correctness/statedlimit_test.cpp
+++ b/test/correctness/fleetratelimit_test.cpp
@@ -1,4 +1,4 @@
-/** Limits that upstreams state: the token bucket, the messages, and a fleet of instances in virtual time. */
+/** Rate limits that upstreams announce: the token bucket, the messages, and a fleet of instances in virtual time. */
 #include "base/random.h"
 #include "fleet/upstreamchoice.h"
 
@@ -19,7 +19,7 @@
 const TimePoint start{std::chrono::hours{1}};
 constexpr Duration step = milliseconds{5};
 constexpr Duration windowLength = seconds{4};
-/** The limit must be kept from this time after the first answer that stated it. */
+/** The limit must be kept from this time after the first answer that announced it. */
 constexpr Duration learningTime = seconds{3};
 
 /** Instances that choose among the upstreams of one service and send each other notices, some of which are lost. */
@@ -132,7 +132,7 @@
         }
         UpstreamSignals signals;
         if (index < m_limits.size()) {
-            signals.requestLimit = m_limits[index];
+            signals.rateLimit = m_limits[index];
         }
         if (const auto notice = table.recordSignals(now, id, 0, signals, true)) {
             tellOthers(now, instance, *notice);
@@ -148,6 +148,15 @@
     std::vector<Message> m_messages;
 };
 
+UpstreamEntry makeEntry()
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId{"u1"};
+    entry.service = ServiceId{"s"};
+    entry.slots = 6;
+    return entry;
+}
+
 double allowedInWindow(double requestsPerSecond)
 {
     return 1.5 * requestsPerSecond * toSeconds(windowLength) + 5;
@@ -155,7 +164,7 @@
 
 } // namespace
 
-TEST_CASE("a fleet without a coordinator keeps the limits of upstreams when instances choose at the same time")
+TEST_CASE("a fleet without a coordinator does not exceed rate limits when instances choose at the same time")
 {
     std::vector<double> limits;
     int upstreams = 21;
@@ -189,7 +198,7 @@
     }
 }
 
-TEST_CASE("limits of all upstreams of a service are used to the most part when the load exceeds them")
+TEST_CASE("rate limits of all upstreams are mostly used when the load exceeds them")
 {
     LimitFleet fleet(1, 6, std::vector<double>(6, 2.0), 60);
     fleet.play(seconds{30});
@@ -198,20 +207,17 @@
     }
 }
 
-TEST_CASE("a request learns how long the stated limits of all upstreams keep it")
+TEST_CASE("a choice tells how long the rate limits of all upstreams reject a request")
 {
     UpstreamTable table;
-    UpstreamEntry entry;
-    entry.id = UpstreamId{"u1"};
-    entry.service = ServiceId{"s"};
-    entry.slots = 6;
+    const UpstreamEntry entry = makeEntry();
     table.setEntries(start, {entry});
     REQUIRE(table.recordSignals(start, entry.id, 0, {0.5}, true).has_value());
     RandomSource random(1);
     ChoiceRequest request;
     request.service = entry.service;
     UpstreamChoice choice = chooseUpstream(start, table, request, random);
-    CHECK(choice.reason == ChoiceReason::AtLimit);
+    CHECK(choice.reason == ChoiceReason::RateLimited);
     CHECK(choice.wait == seconds{2});
     choice = chooseUpstream(start + seconds{2}, table, request, random);
     REQUIRE_MESSAGE(choice.upstream != nullptr, "the upstream gets no request although its limit allows one");
@@ -219,22 +225,21 @@
     CHECK(chooseUpstream(start + seconds{3}, table, request, random).upstream == nullptr);
 }
 
-TEST_CASE("a limit ends with an answer without one, with its upstream's incarnation, and not with a failure")
+TEST_CASE("a rate limit ends with an answer without one or with the incarnation, and not with a failure")
 {
     UpstreamTable table;
-    UpstreamEntry entry;
-    entry.id = UpstreamId{"u1"};
-    entry.service = ServiceId{"s"};
+    UpstreamEntry entry = makeEntry();
     entry.incarnation = 1;
     table.setEntries(start, {entry});
     const auto isLimited = [&table](std::int64_t incarnation) {
-        return table.find(UpstreamId{"u1"}, incarnation)->limit.active();
+        return table.find(UpstreamId{"u1"}, incarnation)->rateLimit.active();
     };
     REQUIRE(table.recordSignals(start, entry.id, 1, {1.0}, true).has_value());
-    CHECK_MESSAGE(!table.recordSignals(start, entry.id, 1, {1.0}, true).has_value(), "a limit that is known was announced again");
+    CHECK_MESSAGE(!table.recordSignals(start, entry.id, 1, {1.0}, true).has_value(),
+                  "a known limit was announced to the other instances again");
     CHECK(!table.recordSignals(start, entry.id, 1, {}, false).has_value());
     CHECK(isLimited(1));
-    CHECK(table.recordSignals(start, entry.id, 1, {}, true)->limit == noLimit);
+    CHECK(table.recordSignals(start, entry.id, 1, {}, true)->rateLimit == noRateLimit);
     CHECK(!isLimited(1));
     REQUIRE(table.recordSignals(start, entry.id, 1, {1.0}, true).has_value());
     entry.incarnation = 2;
@@ -244,12 +249,10 @@
     CHECK_MESSAGE(!isLimited(2), "a late notice about the former process limits the new one");
 }
 
-TEST_CASE("a notice that only tells a limit does not count as a request for the floor")
+TEST_CASE("a notice of a rate limit alone does not count as a request for the floor")
 {
     UpstreamTable table;
-    UpstreamEntry entry;
-    entry.id = UpstreamId{"u1"};
-    entry.service = ServiceId{"s"};
+    const UpstreamEntry entry = makeEntry();
     table.setEntries(start, {entry});
     const UpstreamRecord &record = *table.find(entry.id, 0);
     table.applyNotice(start, {{{record.key, 0, 0, 1.0}}});
@@ -258,9 +261,9 @@
     CHECK(record.lastUsed == start);
 }
 
-TEST_CASE("unusable limits of other instances have no effect")
+TEST_CASE("invalid rate limits from other instances have no effect")
 {
-    StatedLimit limit;
+    FleetRateLimit limit;
     limit.set(start, std::numeric_limits<double>::quiet_NaN());
     limit.set(start, -1);
     CHECK(!limit.active());
--- a/test/correctness/upstreamlimit_test.cpp
+++ b/test/correctness/upstreamlimit_test.cpp
@@ -1,4 +1,4 @@
-/** Upstreams that state how many requests a second they take: what the fleet sends them, as the upstreams see it. */
+/** Upstreams that announce a fleet-wide rate limit: the requests they get, as seen by the upstreams. */
 #include "net/eventloop.h"
 #include "standins/proxyinstance.h"
 #include "standins/rawclient.h"
@@ -26,7 +26,7 @@
 namespace {
 
 constexpr Duration discoveryTimeout = std::chrono::seconds{5};
-/** The limit must be kept from this time after the first answer that stated it, in each window of the given length. */
+/** The limit must be kept from this time after the first answer that announced it, in each window of the given length. */
 constexpr Duration learningTime = std::chrono::seconds{3};
 constexpr Duration windowLength = std::chrono::seconds{4};
 
@@ -36,7 +36,7 @@
     return 1.5 * requestsPerSecond * toSeconds(windowLength) + 5;
 }
 
-/** Upstream that states a limit in each answer while it has one. */
+/** Upstream that announces a rate limit in each answer while it has one. */
 class LimitedUpstream
 {
 public:
@@ -189,7 +189,7 @@
 
 } // namespace
 
-TEST_CASE("an upstream that states a limit does not get more requests than it takes from all instances together")
+TEST_CASE("a fleet does not exceed the rate limit that an upstream announces")
 {
     LimitedUpstream limited("1");
     // Slower, so that an instance that does not know the limit prefers the other one.
@@ -201,10 +201,10 @@
     const int before = limited.arrivals();
     limited.setLimit("");
     fleet.load(std::chrono::seconds{4}, "POST", "/once/a");
-    CHECK_MESSAGE(limited.arrivals() - before > allowedInWindow(1), "the limit is kept after the upstream has stopped stating it");
+    CHECK_MESSAGE(limited.arrivals() - before > allowedInWindow(1), "the limit is kept after the upstream has stopped announcing it");
 }
 
-TEST_CASE("requests are refused at once when all upstreams of a service state limits below the load")
+TEST_CASE("requests are refused at once when the rate limits of all upstreams are below the load")
 {
     LimitedUpstream first("2");
     LimitedUpstream second("1.5");
@@ -212,11 +212,11 @@
     fleet.load(std::chrono::seconds{9}, "GET", "/safe/a");
     CHECK_MESSAGE(first.mostInWindow() <= allowedInWindow(2), "it got " << first.mostInWindow() << " requests in one window");
     CHECK_MESSAGE(second.mostInWindow() <= allowedInWindow(1.5), "it got " << second.mostInWindow() << " requests in one window");
-    CHECK_MESSAGE(fleet.badAnswers() == 0, "a request that cannot be sent was not refused at once with a time to come back");
+    CHECK_MESSAGE(fleet.badAnswers() == 0, "a request that cannot be sent was not refused at once with Retry-After");
     CHECK_MESSAGE(fleet.served() >= 9 * 3.5 / 2, "the limits leave room for more than the " << fleet.served() << " served requests");
 }
 
-TEST_CASE("a request that the limits of all upstreams keep out is told when to come back")
+TEST_CASE("a request that the rate limits of all upstreams reject is told when to retry")
 {
     LimitedUpstream limited("0.25");
     LimitedFleet fleet({&limited});
@@ -225,6 +225,6 @@
     REQUIRE_MESSAGE(answer.starts_with("HTTP/1.1 503"), "the second request was not refused");
     const std::string header = "Retry-After: ";
     const double seconds = std::stod(answer.substr(answer.find(header) + header.size()));
-    // The upstream takes the next request four seconds after its answer.
-    CHECK_MESSAGE(seconds > 3, "told to come back after " << seconds << " s");
+    // The rate limit allows the next request four seconds after the answer.
+    CHECK_MESSAGE(seconds > 3, "Retry-After is " << seconds << " s");
 }
