--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -53,7 +53,7 @@
         record.entry = entry;
         records.emplace(entry.id, std::move(record));
     }
-    const std::vector<std::uint32_t> gone = goneWithoutNotice(records);
+    std::vector<std::uint32_t> gone = goneWithoutNotice(records);
     m_records = std::move(records);
     m_byService.clear();
     m_byKey.clear();
