--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -19,6 +19,10 @@
 
 /** Header of answers: the upstream's fleet-wide rate limit in requests a second. */
 inline constexpr const char *rateLimitHeader = "Server-Limit";
+/** Header of answers: the upstream's process is about to end. */
+inline constexpr const char *leavingHeader = "Server-Leaving";
+/** Header of rejections: for how many seconds the upstream wants no request from this instance. */
+inline constexpr const char *retryAfterHeader = "Retry-After";
 
 /** Headers of requests and answers. */
 inline proxy::HeaderNames headers()
--- a/src/platform/upstreamheaders.h
+++ b/src/platform/upstreamheaders.h
@@ -5,9 +5,9 @@
 
 namespace jackdawdoor::platform {
 
-/** Returns the signals in the head of an answer. A value that is not a finite, non-negative number is logged and
- * ignored; of several values the lowest counts. */
-fleet::UpstreamSignals decodeSignals(const net::Headers &headers);
+/** Returns the signals in the head of an answer. An unusable value is logged and ignored. Of several usable values the most
+ * cautious one counts: the lowest rate limit, the longest Retry-After. */
+fleet::UpstreamSignals decodeSignals(int status, const net::Headers &headers);
 
 /** Returns the names and decoders of the platform's upstreams. */
 proxy::UpstreamProtocol upstreamProtocol();
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -78,7 +78,7 @@
 void Attempt::onHead(const MessageHead &head)
 {
     m_result.head = head;
-    m_result.signals = m_protocol.decodeSignals(head.headers);
+    m_result.signals = m_protocol.decodeSignals(head.status, head.headers);
     m_hooks.onHead(*this);
 }
 
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -95,6 +95,12 @@
     if (result.signals.rateLimit) {
         fields.emplace_back("rate-limit", decimals(*result.signals.rateLimit));
     }
+    if (result.signals.leaving) {
+        fields.emplace_back("leaving", "yes");
+    }
+    if (result.signals.retryAfter) {
+        fields.emplace_back("retry-after-ms", milliseconds(*result.signals.retryAfter));
+    }
     if (result.classification.end == routing::AttemptEnd::Broken) {
         fields.emplace_back("fingerprint", identities(fingerprint));
     }
--- a/src/proxy/upstreamprotocol.h
+++ b/src/proxy/upstreamprotocol.h
@@ -12,7 +12,7 @@
 /** Header names, and the decoder of the state that upstreams report about themselves. */
 struct UpstreamProtocol {
     HeaderNames names;
-    std::function<fleet::UpstreamSignals(const net::Headers &)> decodeSignals;
+    std::function<fleet::UpstreamSignals(int status, const net::Headers &)> decodeSignals;
 };
 
 } // namespace jackdawdoor::proxy
