--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -183,10 +183,10 @@
     store.put(platform::names::operatorTopic, platform::names::configurationKey, document.dump());
 }
 
-void putUpstream(PlatformStore &store, const std::string &id, const std::string &address, int sequence, const std::string &state)
+void putUpstream(PlatformStore &store, const std::string &id, const std::string &address, int sequence, const std::string &state, std::int64_t born)
 {
     const nlohmann::json document{{"address", address},
-                                  {"born", 1000},
+                                  {"born", born},
                                   {"info", {{"service", "svc"}, {"version", "v1"}, {"zone", "dc-1"}, {"slots", 6}}},
                                   {"status", {{"state", state}, {"seq-no", sequence}, {"warmup-left-ms", 0}}}};
     store.put(platform::names::upstreamTopic, id, document.dump());
