Send nothing to an upstream that has said that it leaves

What callers saw: requests went to upstreams that had announced their end in an answer, and were lost when these ended (DRAIN).

Cause: the header was forwarded to the caller and otherwise dropped; leaving was known from the store's entry alone, which comes later, not at all while the store is away, and which can vanish and come back as ready. Class of fault: a peer's own word is received and not used, as with the rate limit before.

Fix: fleet::AnnouncedState holds what one incarnation of an upstream has said of itself, the rate limit included; chooseUpstream, which every attempt passes, asks it. It outlasts the upstream's entry and ends with the incarnation, so a missing entry, an older copy or a store that comes back does not undo it, and a new process at the address starts without it. The other instances are told in the notice of upstreams; instances of earlier versions ignore the new field. When all upstreams leave a request is refused at once instead of waiting for an eighth of its latency objective, with a Retry-After at which the entries of their successors have arrived.

Ruled out: a time limit on leaving, since upstreams may go on for many seconds; a check before a connection sends, since a connection opens within 250 ms or fails, and the rule leaves drain-ms.

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+#include <limits>
+
 namespace jackdawdoor::fleet {
 
 using nlohmann::json;
@@ -32,8 +35,12 @@
     json out = json::array();
     for (const NoticeItem &item : notice.items) {
         json fields = json::array({item.key, item.failures, item.begun});
-        if (item.rateLimit) {
-            fields.push_back(*item.rateLimit);
+        if (item.rateLimit || item.leaving) {
+            // Instances of an earlier version ignore a limit that is not a number, and the field after it.
+            fields.push_back(item.rateLimit.value_or(std::numeric_limits<double>::quiet_NaN()));
+        }
+        if (item.leaving) {
+            fields.push_back(true);
         }
         out.push_back(std::move(fields));
     }
@@ -114,10 +121,14 @@
     }
     for (const json &item : in) {
         NoticeItem decoded{item.at(0).get<std::uint32_t>(), item.at(1).get<int>(), item.at(2).get<int>()};
-        constexpr std::size_t limitIndex = 3; // not sent by instances of an earlier version
-        if (item.size() > limitIndex) {
-            decoded.rateLimit = item.at(limitIndex).get<double>();
+        // Fields that instances of earlier versions do not send.
+        constexpr std::size_t limitIndex = 3;
+        constexpr std::size_t leavingIndex = 4;
+        const double limit = item.size() > limitIndex ? item.at(limitIndex).get<double>() : std::numeric_limits<double>::quiet_NaN();
+        if (!std::isnan(limit)) {
+            decoded.rateLimit = limit;
         }
+        decoded.leaving = item.size() > leavingIndex && item.at(leavingIndex).get<bool>();
         notice.items.push_back(decoded);
     }
     return notice;
--- a/src/fleet/noticequeue.cpp
+++ b/src/fleet/noticequeue.cpp
@@ -13,6 +13,7 @@
     waiting.key = item.key;
     waiting.failures += item.failures;
     waiting.begun += item.begun;
+    waiting.leaving = waiting.leaving || item.leaving;
     waiting.rateLimit = item.rateLimit ? item.rateLimit : waiting.rateLimit;
 }
 
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -49,9 +49,14 @@
 /** Spreads requests over likely gray upstreams with similar probabilities. */
 constexpr double probabilityJitter = 0.15;
 
+bool isLeaving(const UpstreamRecord &record)
+{
+    return record.entry.status != UpstreamStatus::Ready || record.announced.leaving;
+}
+
 bool isUsable(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request)
 {
-    if (record.entry.status != UpstreamStatus::Ready || now < record.unusableUntil) {
+    if (now < record.unusableUntil) {
         return false;
     }
     return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) == request.excluded.end();
@@ -106,6 +111,9 @@
     return cost;
 }
 
+/** A caller that returns after this time finds the upstreams that take the place of those that leave now: their entries have
+ * reached all instances. */
+constexpr Duration newUpstreamTime = std::chrono::seconds{1};
 /** Longer idle times count as this long. */
 constexpr Duration maximumIdleTime = std::chrono::seconds{10};
 
@@ -198,6 +206,8 @@
         return "no-upstream";
     case ChoiceReason::NoRoom:
         return "no-room";
+    case ChoiceReason::AllLeaving:
+        return "all-leaving";
     case ChoiceReason::RateLimited:
         return "rate-limited";
     }
@@ -213,17 +223,23 @@
     const double admission = FleetRateLimit::admissionProbability(request.requestsPerSecond);
     const double medianLatencySeconds = table.medianLatencySeconds(request.service);
     Coverage coverage;
-    for (UpstreamRecord *record : table.ofService(request.service)) {
+    const std::vector<UpstreamRecord *> &upstreams = table.ofService(request.service);
+    bool allLeaving = !upstreams.empty();
+    for (UpstreamRecord *record : upstreams) {
+        if (isLeaving(*record)) {
+            continue;
+        }
+        allLeaving = false;
         if (!isUsable(now, *record, request)) {
             continue;
         }
         ++choice.ready;
-        const Duration wait = record->rateLimit.timeUntilAllowed(now);
+        const Duration wait = record->announced.timeUntilAllowed(now);
         if (wait > Duration::zero()) {
             shortestWait = std::min(shortestWait, wait);
             continue;
         }
-        const bool leftToOthers = record->rateLimit.active() && uniform(random) >= admission;
+        const bool leftToOthers = record->announced.rateLimit.active() && uniform(random) >= admission;
         if (!hasRoom(now, *record) || leftToOthers) {
             canHaveRoomSoon = true;
             continue;
@@ -252,6 +268,9 @@
     } else if (choice.ready > 0) {
         choice.reason = ChoiceReason::RateLimited;
         choice.wait = shortestWait;
+    } else if (allLeaving) {
+        choice.reason = ChoiceReason::AllLeaving;
+        choice.wait = newUpstreamTime;
     }
     return choice;
 }
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -35,7 +35,8 @@
 enum class ChoiceReason {
     LeastCost,
     Coverage, ///< no instance has used this upstream recently
-    NoUpstream, ///< the service has no ready upstream
+    NoUpstream, ///< the service has no ready upstream, but one may become ready soon
+    AllLeaving, ///< all upstreams of the service have said, in their entries or answers, that they leave
     NoRoom, ///< all ready upstreams are at capacity
     RateLimited, ///< the rate limits of all ready upstreams are used up
 };
@@ -47,7 +48,7 @@
     double grayProbability = 0; ///< probability that the chosen upstream is in a gray failure
     double cost = 0;
     int ready = 0; ///< number of usable upstreams
-    Duration wait{}; ///< with RateLimited: time until one of them allows a request
+    Duration wait{}; ///< with RateLimited and AllLeaving: time until a request may be sent
 };
 
 /** Returns the name used in logs, such as "least-cost". */
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -3,6 +3,7 @@
 #include "base/stablehash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdawdoor::fleet {
 
@@ -20,6 +21,11 @@
 /** Other instances are told at once of a request to an upstream that was idle for longer. Below the idle times from which
  * upstreamchoice covers an upstream, by more than the interval of load reports. */
 constexpr Duration noticedIdleTime = std::chrono::milliseconds{700};
+/** Announcements of an upstream without an entry are kept this long, far longer than an upstream takes to end after it has
+ * announced that it leaves, and than its entry may be missing. */
+constexpr Duration announcementLifetime = std::chrono::minutes{15};
+/** All of them are discarded when their number reaches this limit. */
+constexpr std::size_t maximumRemoved = 10000;
 /** Weight of the latest answer in the exponential moving average of the latency. */
 constexpr double latencyWeight = 0.2;
 
@@ -42,6 +48,8 @@
             newReport = record.entry.sequence != entry.sequence;
         } else {
             record.key = upstreamKey(entry.id, entry.incarnation);
+            record.entry = entry;
+            restoreAnnouncements(record);
         }
         if (record.entry.address != entry.address) {
             record.unusableUntil = {};
@@ -54,6 +62,7 @@
         records.emplace(entry.id, std::move(record));
     }
     std::vector<std::uint32_t> gone = goneWithoutNotice(records);
+    rememberAnnouncements(now, records);
     m_records = std::move(records);
     m_byService.clear();
     m_byKey.clear();
@@ -70,13 +79,39 @@
     for (const auto &[id, record] : m_records) {
         const auto found = present.find(id);
         const bool stays = found != present.end() && found->second.key == record.key;
-        if (!stays && record.entry.status == UpstreamStatus::Ready) {
+        if (!stays && record.entry.status == UpstreamStatus::Ready && !record.announced.leaving) {
             gone.push_back(record.key);
         }
     }
     return gone;
 }
 
+void UpstreamTable::rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present)
+{
+    std::erase_if(m_removed, [now](const auto &removed) {
+        return now - removed.second.removedAt > announcementLifetime;
+    });
+    if (m_removed.size() >= maximumRemoved) {
+        m_removed.clear();
+    }
+    for (const auto &[id, record] : m_records) {
+        const auto found = present.find(id);
+        const bool stays = found != present.end() && found->second.key == record.key;
+        if (!stays && record.announced.active()) {
+            m_removed[{id, record.entry.incarnation}] = {record.announced, now};
+        }
+    }
+}
+
+void UpstreamTable::restoreAnnouncements(UpstreamRecord &record)
+{
+    const auto removed = m_removed.find({record.entry.id, record.entry.incarnation});
+    if (removed != m_removed.end()) {
+        record.announced = removed->second.announced;
+        m_removed.erase(removed);
+    }
+}
+
 const std::vector<UpstreamRecord *> &UpstreamTable::ofService(const ServiceId &service) const
 {
     static const std::vector<UpstreamRecord *> none;
@@ -102,10 +137,11 @@
     ++record.ownInFlight;
     ++record.unreportedBegun;
     record.lastUsed = now;
-    record.rateLimit.count(now, 1);
-    if (record.rateLimit.active()) {
+    FleetRateLimit &limit = record.announced.rateLimit;
+    limit.count(now, 1);
+    if (limit.active()) {
         // Repeated for instances that missed the announcement.
-        return NoticeItem{record.key, 0, 1, record.rateLimit.requestsPerSecond()};
+        return NoticeItem{record.key, 0, 1, limit.requestsPerSecond()};
     }
     return idle ? std::optional(NoticeItem{record.key, 0, 1}) : std::nullopt;
 }
@@ -117,17 +153,28 @@
     if (record == nullptr) {
         return std::nullopt;
     }
-    FleetRateLimit &limit = record->rateLimit;
+    std::optional<NoticeItem> notice = recordRateLimit(now, *record, signals, answered);
+    if (signals.leaving && !std::exchange(record->announced.leaving, true)) {
+        notice = notice.value_or(NoticeItem{record->key});
+        notice->leaving = true;
+    }
+    return notice;
+}
+
+std::optional<NoticeItem>
+UpstreamTable::recordRateLimit(TimePoint now, UpstreamRecord &record, const UpstreamSignals &signals, bool answered)
+{
+    FleetRateLimit &limit = record.announced.rateLimit;
     if (!signals.rateLimit) {
         const bool ends = answered && limit.active();
         if (ends) {
             limit.clear();
         }
-        return ends ? std::optional(NoticeItem{record->key, 0, 0, noRateLimit}) : std::nullopt;
+        return ends ? std::optional(NoticeItem{record.key, 0, 0, noRateLimit}) : std::nullopt;
     }
     const bool known = limit.active() && limit.requestsPerSecond() == *signals.rateLimit;
     limit.set(now, *signals.rateLimit);
-    return known ? std::nullopt : std::optional(NoticeItem{record->key, 0, 0, signals.rateLimit});
+    return known ? std::nullopt : std::optional(NoticeItem{record.key, 0, 0, signals.rateLimit});
 }
 
 void UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
@@ -181,22 +228,30 @@
     }
 }
 
-void UpstreamTable::applyNotice(TimePoint now, const UpstreamNotice &notice)
+std::vector<UpstreamEntry> UpstreamTable::applyNotice(TimePoint now, const UpstreamNotice &notice)
 {
+    std::vector<UpstreamEntry> newlyLeaving;
     for (const NoticeItem &item : notice.items) {
-        if (UpstreamRecord *record = findKey(item.key)) {
-            record->grayEstimate.addFailures(now, item.failures);
-            if (item.failures > 0 || item.begun > 0) {
-                record->lastUsed = now;
-            }
-            if (item.rateLimit == noRateLimit) {
-                record->rateLimit.clear();
-            } else if (item.rateLimit) {
-                record->rateLimit.set(now, *item.rateLimit);
-            }
-            record->rateLimit.count(now, item.begun);
+        UpstreamRecord *record = findKey(item.key);
+        if (record == nullptr) {
+            continue;
+        }
+        record->grayEstimate.addFailures(now, item.failures);
+        if (item.failures > 0 || item.begun > 0) {
+            record->lastUsed = now;
+        }
+        FleetRateLimit &limit = record->announced.rateLimit;
+        if (item.rateLimit == noRateLimit) {
+            limit.clear();
+        } else if (item.rateLimit) {
+            limit.set(now, *item.rateLimit);
+        }
+        limit.count(now, item.begun);
+        if (item.leaving && !std::exchange(record->announced.leaving, true)) {
+            newlyLeaving.push_back(record->entry);
         }
     }
+    return newlyLeaving;
 }
 
 void UpstreamTable::applyMisdirectedNotice(TimePoint now, const MisdirectedNotice &notice)
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -2,12 +2,12 @@
  *
  * Own attempts are counted immediately, those of other instances when their load reports arrive. Outcomes seen by other
  * instances update the same health estimate as own ones. A record belongs to one incarnation of an upstream and is
- * discarded with it.
+ * discarded with it. Only what the upstream has announced outlasts the record, in case its entry vanishes and comes back.
  */
 #pragma once
 
+#include "fleet/announcedstate.h"
 #include "fleet/fleetmessage.h"
-#include "fleet/fleetratelimit.h"
 #include "fleet/upstreamentry.h"
 #include "fleet/upstreamsignals.h"
 #include "health/grayepisodeestimator.h"
@@ -42,7 +42,7 @@
     TimePoint fullUntil{}; ///< end of the backoff after it rejected a request
     TimePoint unusableUntil{}; ///< end of the backoff after it was unreachable or its address belonged to another upstream
     int consecutiveUnreachable = 0;
-    FleetRateLimit rateLimit; ///< announced by the upstream
+    AnnouncedState announced;
     double meanLatencySeconds = 0; ///< moving mean over successful answers; zero before the first
     TimePoint lastUsed{}; ///< last request of any instance; the epoch before the first
     int unreportedSuccesses = 0; ///< own successes since the last load report
@@ -60,7 +60,7 @@
 {
 public:
     /** Replaces the set of upstreams. Records of upstreams whose incarnation is unchanged are kept. Returns the keys of those
-     * that are gone although they did not report that they leave. */
+     * that are gone although neither their entry nor an answer had said that they leave. */
     std::vector<std::uint32_t> setEntries(TimePoint now, const std::vector<UpstreamEntry> &entries);
 
     /** Returns the upstreams of a service, sorted by id; empty if the service is unknown. */
@@ -80,12 +80,13 @@
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
     /** Records the signals of an answer. answered: the answer reports no failure; only such an answer ends a rate limit by not
-     * announcing it. Returns what the other instances should know, if anything has changed. */
+     * announcing it. Returns what has changed and the other instances should know. */
     std::optional<NoticeItem>
     recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered);
 
-    /** Applies failures and rate limits seen, and requests sent, by another instance. */
-    void applyNotice(TimePoint now, const UpstreamNotice &notice);
+    /** Applies failures and announcements seen, and requests sent, by another instance. Returns the upstreams that the notice
+     * has made known as leaving. */
+    std::vector<UpstreamEntry> applyNotice(TimePoint now, const UpstreamNotice &notice);
 
     /** Applies another instance's finding that the address belongs to another upstream. */
     void applyMisdirectedNotice(TimePoint now, const MisdirectedNotice &notice);
@@ -104,11 +105,19 @@
     double medianLatencySeconds(const ServiceId &service) const;
 
 private:
+    using Identity = std::pair<UpstreamId, std::int64_t>; ///< id and incarnation
+    struct RemovedUpstream {
+        AnnouncedState announced;
+        TimePoint removedAt{};
+    };
     struct PeerLoad {
         TimePoint at{};
         std::vector<LoadItem> items;
     };
 
+    void rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present);
+    void restoreAnnouncements(UpstreamRecord &record);
+    std::optional<NoticeItem> recordRateLimit(TimePoint now, UpstreamRecord &record, const UpstreamSignals &signals, bool answered);
     std::vector<std::uint32_t> goneWithoutNotice(const std::map<UpstreamId, UpstreamRecord> &present) const;
     void applyLoad(const PeerLoad &load, int sign);
     void applyOutcome(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration duration);
@@ -119,6 +128,7 @@
     std::map<ServiceId, std::vector<UpstreamRecord *>> m_byService;
     std::unordered_map<std::uint32_t, UpstreamRecord *> m_byKey;
     std::map<InstanceId, PeerLoad> m_peers;
+    std::map<Identity, RemovedUpstream> m_removed; ///< upstreams without an entry that had announced something
 };
 
 /** Hash that identifies one incarnation of an upstream in messages between instances. */
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -147,8 +147,7 @@
 
 void Exchange::waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice)
 {
-    const bool inTime = choice.reason != fleet::ChoiceReason::RateLimited || now + choice.wait < m_capacityDeadline;
-    if (now < m_capacityDeadline && inTime) {
+    if (now + choice.wait < m_capacityDeadline) {
         m_waitTimer.set(capacityPollPeriod);
         return;
     }
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -9,17 +9,24 @@
     const AttemptResult &result = attempt.result();
     const fleet::UpstreamEntry &upstream = attempt.upstream();
     const fleet::UpstreamRecord *record = m_context.upstreams.find(upstream.id, upstream.incarnation);
-    const bool concernsRateLimit = record != nullptr && (result.signals.rateLimit || record->rateLimit.active());
-    if (!concernsRateLimit || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
+    const bool unchanged = record == nullptr || (result.signals == fleet::UpstreamSignals{} && !record->announced.rateLimit.active());
+    if (unchanged || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
         return;
     }
     const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
     const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
-    if (notice) {
-        m_context.reportEvents(*notice);
+    if (!notice) {
+        return;
+    }
+    m_context.reportEvents(*notice);
+    if (notice->rateLimit) {
         m_context.metrics.countRateLimitChange(result.signals.rateLimit ? "announced" : "ended");
         logRateLimit(m_requestId, m_service, upstream, result.signals.rateLimit);
     }
+    if (notice->leaving) {
+        m_context.metrics.countLeaving("own");
+        logLeaving(record->entry, m_requestId);
+    }
 }
 
 void Exchange::recordOutcome(TimePoint now, const Attempt &attempt, fleet::AttemptOutcome outcome)
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -1,5 +1,6 @@
 // Gateway: messages between instances.
 #include "proxy/gateway.h"
+#include "proxy/proxylog.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -195,7 +196,10 @@
         m_context.upstreams.applyLoadReport(now, datagram.from.id, *report);
         m_context.addPeerDemand(now, report->demand);
     } else if (const auto *events = std::get_if<fleet::UpstreamNotice>(&datagram.message)) {
-        m_context.upstreams.applyNotice(now, *events);
+        for (const fleet::UpstreamEntry &leaving : m_context.upstreams.applyNotice(now, *events)) {
+            m_context.metrics.countLeaving("other-instance");
+            logLeaving(leaving, datagram.from.id.value);
+        }
     } else if (const auto *misdirected = std::get_if<fleet::MisdirectedNotice>(&datagram.message)) {
         m_context.upstreams.applyMisdirectedNotice(now, *misdirected);
     } else if (const auto *crash = std::get_if<fleet::CrashNotice>(&datagram.message)) {
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -59,8 +59,9 @@
                                 {"ready", std::to_string(choice.ready)},
                                 {"configuration", std::to_string(table.version())},
                                 {"attempt", std::to_string(attempt)}};
-    if (record.rateLimit.active()) {
-        fields.emplace_back("rate-limit", decimals(record.rateLimit.requestsPerSecond()));
+    const fleet::FleetRateLimit &limit = record.announced.rateLimit;
+    if (limit.active()) {
+        fields.emplace_back("rate-limit", decimals(limit.requestsPerSecond()));
     }
     telemetry::writeLog(LogLevel::Info, "choose upstream", fleet::reasonName(choice.reason), fields);
 }
@@ -79,6 +80,18 @@
                          {"rate-limit", requestsPerSecond ? decimals(*requestsPerSecond) : ""}});
 }
 
+void logLeaving(const fleet::UpstreamEntry &upstream, const std::string &source)
+{
+    telemetry::writeLog(LogLevel::Info,
+                        "upstream leaves",
+                        "it gets no more requests",
+                        {{"source", source},
+                         {"service", upstream.service.value},
+                         {"upstream", upstream.id.value},
+                         {"incarnation", std::to_string(upstream.incarnation)},
+                         {"entry", upstream.status == fleet::UpstreamStatus::Ready ? "ready" : "draining"}});
+}
+
 void logAttempt(const std::string &requestId,
                 const ServiceId &service,
                 const Attempt &attempt,
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -28,6 +28,8 @@
         counter(registry, "jackdawdoor_upstream_crashes_total", "Crashes of upstreams by a request, by source of the finding");
     prometheus::Family<prometheus::Counter> &rateLimitChanges =
         counter(registry, "jackdawdoor_upstream_rate_limit_changes_total", "Changes of the rate limits that upstreams announce");
+    prometheus::Family<prometheus::Counter> &leaving =
+        counter(registry, "jackdawdoor_upstreams_leaving_total", "Upstreams that announced in an answer that they leave, by source");
     prometheus::Family<prometheus::Counter> &storeCalls =
         counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
@@ -67,6 +69,11 @@
     m_families->rateLimitChanges.Add({{"change", std::string(change)}}).Increment();
 }
 
+void ProxyMetrics::countLeaving(std::string_view source)
+{
+    m_families->leaving.Add({{"source", std::string(source)}}).Increment();
+}
+
 void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
 {
     m_families->storeCalls.Add({{"call", std::string(call)}, {"result", succeeded ? "answered" : "failed"}}).Increment();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -30,6 +30,9 @@
     /** Counts a change of an upstream's rate limit, found in an answer to this instance. change: "announced" or "ended". */
     void countRateLimitChange(std::string_view change);
 
+    /** Counts an upstream that has announced that it leaves. source: who found it, "own" or "other-instance". */
+    void countLeaving(std::string_view source);
+
     /** Counts an ended call to the store. */
     void countStoreCall(std::string_view call, bool succeeded);
 
--- /dev/null
+++ b/test/correctness/announcedstate_test.cpp
@@ -0,0 +1,118 @@
+/** What upstreams announce of themselves: the table of upstreams, the choice and the messages, without a network. */
+#include "base/random.h"
+#include "fleet/upstreamchoice.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace jackdawdoor;
+using namespace jackdawdoor::fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start{std::chrono::hours{1}};
+
+UpstreamEntry entryOf(const std::string &id, std::int64_t incarnation = 1)
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId{id};
+    entry.service = ServiceId{"s"};
+    entry.address = "10.0.0.1:80";
+    entry.slots = 6;
+    entry.incarnation = incarnation;
+    return entry;
+}
+
+UpstreamSignals leavingSignal()
+{
+    UpstreamSignals signals;
+    signals.leaving = true;
+    return signals;
+}
+
+UpstreamChoice choose(TimePoint now, const UpstreamTable &table, double floorShare = 0)
+{
+    RandomSource random(1);
+    ChoiceRequest request;
+    request.service = ServiceId{"s"};
+    request.requestsPerSecond = 10;
+    request.floorShare = floorShare;
+    return chooseUpstream(now, table, request, random);
+}
+
+UpstreamNotice roundTrip(const UpstreamNotice &notice)
+{
+    const auto datagram = decodeDatagram(encodeDatagram({{InstanceId{"a"}, 1}, notice}));
+    REQUIRE(datagram.has_value());
+    return std::get<UpstreamNotice>(datagram->message);
+}
+
+} // namespace
+
+TEST_CASE("an upstream that leaves is not chosen to cover the floor")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    CHECK(table.recordSignals(start, UpstreamId{"a"}, 1, leavingSignal(), true)->leaving);
+    for (TimePoint now = start; now < start + seconds{10}; now += milliseconds{100}) {
+        const UpstreamChoice choice = choose(now, table, 1.0);
+        REQUIRE(choice.upstream != nullptr);
+        CHECK_MESSAGE(choice.upstream->entry.id.value == "b", "a request was sent to an upstream that leaves");
+        CHECK(choice.ready == 1);
+        static_cast<void>(table.beginAttempt(now, *choice.upstream));
+        table.endAttempt(now, choice.upstream->entry.id, 1, AttemptOutcome::Answered, milliseconds{2});
+    }
+}
+
+TEST_CASE("leaving belongs to a process: it outlasts a missing entry and ends with the incarnation")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a")});
+    CHECK(table.recordSignals(start, UpstreamId{"a"}, 1, leavingSignal(), true).has_value());
+    CHECK_MESSAGE(!table.recordSignals(start, UpstreamId{"a"}, 1, leavingSignal(), true).has_value(), "a known signal is told again");
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, {}, true));
+    CHECK_MESSAGE(choose(start, table).reason == ChoiceReason::AllLeaving, "an answer without the signal took it back");
+    CHECK_MESSAGE(table.setEntries(start + seconds{1}, {}).empty(), "an upstream that left as announced counts as gone without notice");
+    table.setEntries(start + seconds{2}, {entryOf("a")});
+    CHECK_MESSAGE(choose(start + seconds{2}, table).upstream == nullptr, "the entry came back, and the leaving was forgotten");
+    table.setEntries(start + seconds{3}, {entryOf("a", 2)});
+    CHECK_MESSAGE(choose(start + seconds{3}, table).upstream != nullptr, "a new process inherits the leaving of the former one");
+}
+
+TEST_CASE("other instances learn of a leaving upstream, and an unknown upstream in a notice changes nothing")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    const std::uint32_t key = upstreamKey(UpstreamId{"a"}, 1);
+    const std::uint32_t otherIncarnation = upstreamKey(UpstreamId{"a"}, 2);
+    CHECK(table.applyNotice(start, {{{otherIncarnation, 0, 0, std::nullopt, true}}}).empty());
+    CHECK(choose(start, table).ready == 2);
+    CHECK(table.applyNotice(start, {{{key, 0, 0, std::nullopt, true}}}).size() == 1);
+    CHECK_MESSAGE(table.applyNotice(start, {{{key, 0, 0, std::nullopt, true}}}).empty(), "a known signal is reported again");
+    CHECK(choose(start, table).ready == 1);
+}
+
+TEST_CASE("notices with and without announcements survive a round trip")
+{
+    const UpstreamNotice notice{{{1, 2, 3}, {4, 0, 1, 2.5}, {5, 0, 0, std::nullopt, true}, {6, 0, 0, noRateLimit, true}}};
+    CHECK(roundTrip(notice) == notice);
+}
+
+TEST_CASE("callers are refused at once when all upstreams leave, by their entries or their answers")
+{
+    UpstreamTable table;
+    UpstreamEntry draining = entryOf("b");
+    draining.status = UpstreamStatus::Draining;
+    table.setEntries(start, {entryOf("a"), draining});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, leavingSignal(), false));
+    const UpstreamChoice choice = choose(start, table);
+    CHECK(choice.reason == ChoiceReason::AllLeaving);
+    CHECK_MESSAGE(choice.wait > Duration::zero(), "the request would wait for nothing");
+    UpstreamTable empty;
+    CHECK(choose(start, empty).reason == ChoiceReason::NoUpstream);
+}
--- a/test/correctness/fleetratelimit_test.cpp
+++ b/test/correctness/fleetratelimit_test.cpp
@@ -232,7 +232,7 @@
     entry.incarnation = 1;
     table.setEntries(start, {entry});
     const auto isLimited = [&table](std::int64_t incarnation) {
-        return table.find(UpstreamId{"u1"}, incarnation)->rateLimit.active();
+        return table.find(UpstreamId{"u1"}, incarnation)->announced.rateLimit.active();
     };
     REQUIRE(table.recordSignals(start, entry.id, 1, {1.0}, true).has_value());
     CHECK_MESSAGE(!table.recordSignals(start, entry.id, 1, {1.0}, true).has_value(),
--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -183,7 +183,12 @@
     store.put(platform::names::operatorTopic, platform::names::configurationKey, document.dump());
 }
 
-void putUpstream(PlatformStore &store, const std::string &id, const std::string &address, int sequence, const std::string &state, std::int64_t born)
+void putUpstream(PlatformStore &store,
+                 const std::string &id,
+                 const std::string &address,
+                 int sequence,
+                 const std::string &state,
+                 std::int64_t born)
 {
     const nlohmann::json document{{"address", address},
                                   {"born", born},
--- a/test/standins/proxyinstance.h
+++ b/test/standins/proxyinstance.h
@@ -70,7 +70,12 @@
 void putConfiguration(PlatformStore &store, std::uint64_t version);
 
 /** Writes an upstream's entry to the store. */
-void putUpstream(PlatformStore &store, const std::string &id, const std::string &address, int sequence, const std::string &state = "ready", std::int64_t born = 1000);
+void putUpstream(PlatformStore &store,
+                 const std::string &id,
+                 const std::string &address,
+                 int sequence,
+                 const std::string &state = "ready",
+                 std::int64_t born = 1000);
 
 /** Bytes of a caller's request. */
 std::string callerRequest(const std::string &method,
