Send nothing to an upstream during a rest that it has asked for

What callers saw: an upstream that had answered 503 with Retry-After got request after request in that time (BUDGET), each of which cost the caller a retry or a refusal, with a Retry-After that named a time at which there was no room either.

Cause: Retry-After was not read. A rejection kept its upstream out for 150 ms, whatever it said, and an idle upstream with good answers is the cheapest. Class of fault: as with leaving, a peer's own word is received and not used.

The gate is the same: first attempts, retries, hedges, waiting requests and coverage of the floor pass over it. A rest counts among the ready upstreams, as a rate limit does, so that fewer upstreams do not make a smaller floor. It is not told to other instances: it is addressed to this one, and an upstream that all instances left alone on one word would go without requests, which FLOOR counts. When rests and rate limits keep a request from all upstreams for longer than it may wait, or it has tried all of them, it is refused at once; Retry-After is the earliest time at which any upstream of the service allows a request.

A 503 without the not-executed header is no proof that the request has not run (PROTOCOL.md: no other response states this), also with Retry-After; so a request that may run once is not sent again then.

--- a/src/fleet/announcedstate.cpp
+++ b/src/fleet/announcedstate.cpp
@@ -1,15 +1,26 @@
 #include "fleet/announcedstate.h"
 
+#include <algorithm>
+
 namespace jackdawdoor::fleet {
 
 Duration AnnouncedState::timeUntilAllowed(TimePoint now) const
 {
-    return leaving ? Duration::max() : rateLimit.timeUntilAllowed(now);
+    if (leaving) {
+        return Duration::max();
+    }
+    const Duration rest = resting(now) ? restUntil - now : Duration::zero();
+    return std::max(rest, rateLimit.timeUntilAllowed(now));
+}
+
+bool AnnouncedState::active(TimePoint now) const
+{
+    return leaving || rateLimit.active() || resting(now);
 }
 
-bool AnnouncedState::active() const
+bool AnnouncedState::resting(TimePoint now) const
 {
-    return leaving || rateLimit.active();
+    return now < restUntil;
 }
 
 } // namespace jackdawdoor::fleet
--- a/src/fleet/announcedstate.h
+++ b/src/fleet/announcedstate.h
@@ -14,12 +14,18 @@
     FleetRateLimit rateLimit;
     /** The process is about to end. Nothing takes this back: the next process at the address is another incarnation. */
     bool leaving = false;
+    /** End of the time for which it wants no request from this instance. Not known to the other instances, since it concerns
+     * this one only. */
+    TimePoint restUntil{};
 
     /** Returns the time until the next request may be sent: zero if it may be sent now, Duration::max() if none ever may. */
     Duration timeUntilAllowed(TimePoint now) const;
 
     /** True while any announcement is in force. */
-    bool active() const;
+    bool active(TimePoint now) const;
+
+    /** True while the upstream wants no request from this instance. */
+    bool resting(TimePoint now) const;
 };
 
 } // namespace jackdawdoor::fleet
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -54,12 +54,9 @@
     return record.entry.status != UpstreamStatus::Ready || record.announced.leaving;
 }
 
-bool isUsable(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request)
+bool isExcluded(const UpstreamRecord &record, const ChoiceRequest &request)
 {
-    if (now < record.unusableUntil) {
-        return false;
-    }
-    return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) == request.excluded.end();
+    return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) != request.excluded.end();
 }
 
 bool hasRoom(TimePoint now, const UpstreamRecord &record)
@@ -193,6 +190,61 @@
     int m_dueCount = 0;
 };
 
+/** Collects why no request may be sent now, and until when. */
+class Unavailability
+{
+public:
+    explicit Unavailability(bool anyUpstream)
+        : m_allLeaving(anyUpstream)
+    {
+    }
+
+    /** An upstream that does not leave. wait: until its announcements allow a request. */
+    void considerStaying(TimePoint now, const UpstreamRecord &record, Duration wait)
+    {
+        m_allLeaving = false;
+        m_retryAfter = std::min(m_retryAfter, std::max(wait, record.unusableUntil - now));
+        m_anyResting = m_anyResting || record.announced.resting(now);
+    }
+
+    /** An upstream that this request must not use yet. */
+    void considerWaiting(Duration wait)
+    {
+        m_wait = std::min(m_wait, wait);
+    }
+
+    /** An upstream that may take this request before long, at a time that is not known. */
+    void considerReturning()
+    {
+        m_mayReturn = true;
+    }
+
+    /** Sets the reason and the times. */
+    void explain(UpstreamChoice &choice) const
+    {
+        if (m_allLeaving) {
+            choice.reason = ChoiceReason::AllLeaving;
+            choice.wait = newUpstreamTime;
+            choice.retryAfter = newUpstreamTime;
+            return;
+        }
+        // A request that may use none of the upstreams is worth a wait only if they are not all known to reject it.
+        const bool allRestricted = choice.ready > 0 || (!m_mayReturn && m_retryAfter > Duration::zero() && m_retryAfter < Duration::max());
+        if (allRestricted) {
+            choice.reason = m_anyResting ? ChoiceReason::Resting : ChoiceReason::RateLimited;
+            choice.wait = m_wait;
+            choice.retryAfter = m_retryAfter;
+        }
+    }
+
+private:
+    bool m_allLeaving;
+    bool m_anyResting = false;
+    bool m_mayReturn = false;
+    Duration m_wait = Duration::max(); ///< until an upstream that this request may use allows it
+    Duration m_retryAfter = Duration::max(); ///< until any upstream of the service allows a request
+};
+
 } // namespace
 
 const char *reasonName(ChoiceReason reason)
@@ -210,6 +262,8 @@
         return "all-leaving";
     case ChoiceReason::RateLimited:
         return "rate-limited";
+    case ChoiceReason::Resting:
+        return "resting";
     }
     return "no-upstream";
 }
@@ -218,25 +272,29 @@
 {
     UpstreamChoice choice;
     double best = std::numeric_limits<double>::max();
-    Duration shortestWait = Duration::max(); // until a rate limit allows a request
     bool canHaveRoomSoon = false;
     const double admission = FleetRateLimit::admissionProbability(request.requestsPerSecond);
     const double medianLatencySeconds = table.medianLatencySeconds(request.service);
     Coverage coverage;
     const std::vector<UpstreamRecord *> &upstreams = table.ofService(request.service);
-    bool allLeaving = !upstreams.empty();
+    Unavailability unavailability(!upstreams.empty());
     for (UpstreamRecord *record : upstreams) {
         if (isLeaving(*record)) {
             continue;
         }
-        allLeaving = false;
-        if (!isUsable(now, *record, request)) {
+        const Duration wait = record->announced.timeUntilAllowed(now);
+        unavailability.considerStaying(now, *record, wait);
+        if (isExcluded(*record, request)) {
+            continue;
+        }
+        if (now < record->unusableUntil) {
+            unavailability.considerReturning();
+            unavailability.considerWaiting(record->unusableUntil - now);
             continue;
         }
         ++choice.ready;
-        const Duration wait = record->announced.timeUntilAllowed(now);
         if (wait > Duration::zero()) {
-            shortestWait = std::min(shortestWait, wait);
+            unavailability.considerWaiting(wait);
             continue;
         }
         const bool leftToOthers = record->announced.rateLimit.active() && uniform(random) >= admission;
@@ -265,12 +323,8 @@
         choice.grayProbability = choice.upstream->grayEstimate.probability(now);
     } else if (canHaveRoomSoon) {
         choice.reason = ChoiceReason::NoRoom;
-    } else if (choice.ready > 0) {
-        choice.reason = ChoiceReason::RateLimited;
-        choice.wait = shortestWait;
-    } else if (allLeaving) {
-        choice.reason = ChoiceReason::AllLeaving;
-        choice.wait = newUpstreamTime;
+    } else {
+        unavailability.explain(choice);
     }
     return choice;
 }
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -39,6 +39,7 @@
     AllLeaving, ///< all upstreams of the service have said, in their entries or answers, that they leave
     NoRoom, ///< all ready upstreams are at capacity
     RateLimited, ///< the rate limits of all ready upstreams are used up
+    Resting, ///< the ready upstreams have asked this instance for a rest, or have used up their rate limits
 };
 
 /** Result of a choice. */
@@ -48,7 +49,8 @@
     double grayProbability = 0; ///< probability that the chosen upstream is in a gray failure
     double cost = 0;
     int ready = 0; ///< number of usable upstreams
-    Duration wait{}; ///< with RateLimited and AllLeaving: time until a request may be sent
+    Duration wait{}; ///< without an upstream: time until this request may find one, if that is known
+    Duration retryAfter{}; ///< the same for a new request, which may use the excluded upstreams as well
 };
 
 /** Returns the name used in logs, such as "least-cost". */
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -97,7 +97,7 @@
     for (const auto &[id, record] : m_records) {
         const auto found = present.find(id);
         const bool stays = found != present.end() && found->second.key == record.key;
-        if (!stays && record.announced.active()) {
+        if (!stays && record.announced.active(now)) {
             m_removed[{id, record.entry.incarnation}] = {record.announced, now};
         }
     }
@@ -158,6 +158,9 @@
         notice = notice.value_or(NoticeItem{record->key});
         notice->leaving = true;
     }
+    if (signals.retryAfter) {
+        record->announced.restUntil = std::max(record->announced.restUntil, now + *signals.retryAfter);
+    }
     return notice;
 }
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -147,7 +147,7 @@
 
 void Exchange::waitForCapacity(TimePoint now, const fleet::UpstreamChoice &choice)
 {
-    if (now + choice.wait < m_capacityDeadline) {
+    if (choice.wait < m_capacityDeadline - now) {
         m_waitTimer.set(capacityPollPeriod);
         return;
     }
@@ -158,7 +158,7 @@
         fail(now, badGateway, fleet::reasonName(choice.reason));
         return;
     }
-    refuse(now, fleet::reasonName(choice.reason), choice.wait);
+    refuse(now, fleet::reasonName(choice.reason), choice.retryAfter);
 }
 
 Duration Exchange::maximumIdle() const
@@ -244,7 +244,7 @@
         retry(now);
         return;
     case routing::NextStep::RefuseNotRun:
-        refuse(now, classification.reason);
+        refuse(now, classification.reason, choose(now).retryAfter);
         return;
     case routing::NextStep::FailUnknown:
         fail(now, badGateway, classification.reason);
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -15,6 +15,10 @@
     }
     const bool answered = classifyAnswer(result.head, m_requestId, m_context.protocol.names).end == routing::AttemptEnd::Answered;
     const auto notice = m_context.upstreams.recordSignals(net::now(), upstream.id, upstream.incarnation, result.signals, answered);
+    if (result.signals.retryAfter) {
+        m_context.metrics.countRest();
+        logRest(m_requestId, upstream, *result.signals.retryAfter);
+    }
     if (!notice) {
         return;
     }
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -92,6 +92,18 @@
                          {"entry", upstream.status == fleet::UpstreamStatus::Ready ? "ready" : "draining"}});
 }
 
+void logRest(const std::string &requestId, const fleet::UpstreamEntry &upstream, Duration rest)
+{
+    telemetry::writeLog(LogLevel::Info,
+                        "upstream rests",
+                        "it gets no requests from this instance",
+                        {{"request", requestId},
+                         {"service", upstream.service.value},
+                         {"upstream", upstream.id.value},
+                         {"incarnation", std::to_string(upstream.incarnation)},
+                         {"ms", milliseconds(rest)}});
+}
+
 void logAttempt(const std::string &requestId,
                 const ServiceId &service,
                 const Attempt &attempt,
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -30,6 +30,8 @@
         counter(registry, "jackdawdoor_upstream_rate_limit_changes_total", "Changes of the rate limits that upstreams announce");
     prometheus::Family<prometheus::Counter> &leaving =
         counter(registry, "jackdawdoor_upstreams_leaving_total", "Upstreams that announced in an answer that they leave, by source");
+    prometheus::Counter &rests =
+        counter(registry, "jackdawdoor_upstream_rests_total", "Rejections with a Retry-After by upstreams").Add({});
     prometheus::Family<prometheus::Counter> &storeCalls =
         counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
@@ -74,6 +76,11 @@
     m_families->leaving.Add({{"source", std::string(source)}}).Increment();
 }
 
+void ProxyMetrics::countRest()
+{
+    m_families->rests.Increment();
+}
+
 void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
 {
     m_families->storeCalls.Add({{"call", std::string(call)}, {"result", succeeded ? "answered" : "failed"}}).Increment();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -33,6 +33,9 @@
     /** Counts an upstream that has announced that it leaves. source: who found it, "own" or "other-instance". */
     void countLeaving(std::string_view source);
 
+    /** Counts a rejection with which an upstream asked this instance for a rest. */
+    void countRest();
+
     /** Counts an ended call to the store. */
     void countStoreCall(std::string_view call, bool succeeded);
 
--- a/test/correctness/announcedstate_test.cpp
+++ b/test/correctness/announcedstate_test.cpp
@@ -35,6 +35,13 @@
     return signals;
 }
 
+UpstreamSignals restSignal(Duration time)
+{
+    UpstreamSignals signals;
+    signals.retryAfter = time;
+    return signals;
+}
+
 UpstreamChoice choose(TimePoint now, const UpstreamTable &table, double floorShare = 0)
 {
     RandomSource random(1);
@@ -116,3 +123,61 @@
     UpstreamTable empty;
     CHECK(choose(start, empty).reason == ChoiceReason::NoUpstream);
 }
+
+TEST_CASE("an upstream that rests is not chosen to cover the floor, and is chosen again afterwards")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{4}), false));
+    // A shorter time in a later answer does not end the rest sooner.
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{1}), false));
+    bool usedAgain = false;
+    for (TimePoint now = start; now < start + seconds{8}; now += milliseconds{100}) {
+        const UpstreamChoice choice = choose(now, table, 1.0);
+        REQUIRE(choice.upstream != nullptr);
+        const bool rests = now < start + seconds{4};
+        const bool first = choice.upstream->entry.id.value == "a";
+        CHECK_MESSAGE(!(rests && first), "a request was sent to an upstream during its rest");
+        usedAgain = usedAgain || first;
+        static_cast<void>(table.beginAttempt(now, *choice.upstream));
+        table.endAttempt(now, choice.upstream->entry.id, 1, AttemptOutcome::Answered, milliseconds{2});
+    }
+    CHECK_MESSAGE(usedAgain, "the upstream is not used after its rest");
+}
+
+TEST_CASE("a rest outlasts a missing entry and ends with the incarnation")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a")});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{30}), false));
+    table.setEntries(start + seconds{1}, {});
+    table.setEntries(start + seconds{2}, {entryOf("a")});
+    const UpstreamChoice choice = choose(start + seconds{2}, table);
+    CHECK(choice.reason == ChoiceReason::Resting);
+    CHECK(choice.retryAfter == seconds{28});
+    table.setEntries(start + seconds{3}, {entryOf("a", 2)});
+    CHECK_MESSAGE(choose(start + seconds{3}, table).upstream != nullptr, "a new process inherits the rest of the former one");
+}
+
+TEST_CASE("a request that all upstreams have rejected is refused with the end of the first rest")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{2}), false));
+    static_cast<void>(table.recordSignals(start, UpstreamId{"b"}, 1, restSignal(seconds{6}), false));
+    RandomSource random(1);
+    ChoiceRequest request;
+    request.service = ServiceId{"s"};
+    UpstreamChoice choice = chooseUpstream(start, table, request, random);
+    CHECK(choice.wait == seconds{2});
+    CHECK(choice.retryAfter == seconds{2});
+    request.excluded = {UpstreamId{"a"}};
+    choice = chooseUpstream(start, table, request, random);
+    CHECK(choice.wait == seconds{6});
+    CHECK_MESSAGE(choice.retryAfter == seconds{2}, "a new request may use an upstream that this one has tried");
+    request.excluded = {UpstreamId{"a"}, UpstreamId{"b"}};
+    choice = chooseUpstream(start, table, request, random);
+    CHECK(choice.reason == ChoiceReason::Resting);
+    CHECK_MESSAGE(choice.wait == Duration::max(), "the request would wait although it has tried all upstreams");
+    CHECK(choice.retryAfter == seconds{2});
+}
--- a/test/correctness/upstreamrest_test.cpp
+++ b/test/correctness/upstreamrest_test.cpp
@@ -67,9 +67,13 @@
     AnnouncingUpstream resting;
     AnnouncingUpstream working(milliseconds{150});
     AnnouncingFleet fleet({&resting, &working}, oneInstance);
+    fleet.load(seconds{1}, "POST", "/once/a"); // the retry budget starts empty
+    const std::size_t before = resting.arrivalTimes().size();
     resting.reject("5");
     fleet.load(seconds{30}, "POST", "/once/a");
-    const int most = mostDuringRest(resting.arrivalTimes(), seconds{5});
+    std::vector<TimePoint> rejected = resting.arrivalTimes();
+    rejected.erase(rejected.begin(), rejected.begin() + static_cast<std::ptrdiff_t>(before));
+    const int most = mostDuringRest(rejected, seconds{5});
     CHECK_MESSAGE(most <= allowedRequests, most << " requests reached it during one rest");
     CHECK_MESSAGE(fleet.refused() + fleet.badAnswers() == 0, "requests were lost although another upstream had room");
 }
