--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -17,6 +17,9 @@
 /** This system's own topic, in which its instances register. */
 inline constexpr const char *instanceTopic = "keyed.instances";
 
+/** Header of the store's answers: number of its history, which rises when it is restored from a copy. */
+inline constexpr const char *storeHistoryHeader = "Store-Era";
+
 /** Header of answers: the upstream's fleet-wide rate limit in requests a second. */
 inline constexpr const char *rateLimitHeader = "Server-Limit";
 /** Header of answers: the upstream's process is about to end. */
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/documents.h"
 #include "platform/names.h"
+#include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -139,6 +140,7 @@
                            false,
                            {[call](const proxy::MessageHead &head) {
                                 call->answer.status = head.status;
+                                call->answer.history = decodeHistory(head.headers);
                             },
                             [call](std::string_view chunk) {
                                 call->answer.body.append(chunk);
@@ -151,6 +153,17 @@
                             }});
 }
 
+void StoreClient::logHistory(const std::optional<proxy::StoreHistoryNumber> &history)
+{
+    if (history && history != m_history) {
+        telemetry::writeLog(telemetry::LogLevel::Info,
+                            "call store",
+                            m_history ? "an answer from another history" : "first answer",
+                            {{"history", std::to_string(*history)}, {"before", m_history ? std::to_string(*m_history) : ""}});
+        m_history = history;
+    }
+}
+
 void StoreClient::endCall(Call *call, const Result<Answer> &answer)
 {
     const auto position = m_calls.find(call);
@@ -160,6 +173,9 @@
     if (answered && call->connection->reusable() && m_idle.size() < maximumIdle) {
         m_idle.push_back(std::move(call->connection));
     }
+    if (answered) {
+        logHistory(answer.value().history);
+    }
     m_onCall(call->name, answered && answer.value().status == ok);
     call->hook(answer);
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -41,6 +41,9 @@
 /** Decodes the answer to log-newest. Nothing if the text is malformed. */
 std::optional<NewestPage> decodeNewest(std::string_view text);
 
+/** Returns the number of the store's history in the head of an answer. Nothing if there is none; an unusable one is logged. */
+std::optional<proxy::StoreHistoryNumber> decodeHistory(const net::Headers &headers);
+
 /** Encodes a record of a keyed topic for log-append. */
 std::string encodeRecord(const std::string &key, const std::string &value);
 
@@ -62,6 +65,7 @@
 private:
     struct Answer {
         int status = 0;
+        std::optional<proxy::StoreHistoryNumber> history;
         std::string body;
     };
     struct Call;
@@ -75,6 +79,7 @@
               const std::string &body,
               Duration timeout,
               AnswerHook hook);
+    void logHistory(const std::optional<proxy::StoreHistoryNumber> &history);
     void endCall(Call *call, const Result<Answer> &answer);
     void readNewest(const char *topic,
                     const std::string &after,
@@ -91,6 +96,7 @@
     std::function<void(const char *, bool)> m_onCall;
     std::vector<std::unique_ptr<proxy::OutboundConnection>> m_idle;
     std::map<Call *, std::unique_ptr<Call>> m_calls;
+    std::optional<proxy::StoreHistoryNumber> m_history; ///< of the latest answer
 };
 
 } // namespace jackdawdoor::platform
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -1,4 +1,6 @@
+#include "platform/names.h"
 #include "platform/storeclient.h"
+#include "telemetry/log.h"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
@@ -89,6 +91,20 @@
     }
 }
 
+std::optional<proxy::StoreHistoryNumber> decodeHistory(const net::Headers &headers)
+{
+    const std::string text = net::findHeader(headers, names::storeHistoryHeader);
+    const auto number = net::parseNumber(text);
+    if (!number && !text.empty()) {
+        constexpr std::size_t loggedBytes = 40;
+        telemetry::writeLog(telemetry::LogLevel::Warning,
+                            "decode answer",
+                            "the number of the store's history is unusable",
+                            {{"value", text.substr(0, loggedBytes)}});
+    }
+    return number;
+}
+
 std::string encodeRecord(const std::string &key, const std::string &value)
 {
     const std::size_t size = 1 + key.size() + value.size();
--- a/src/proxy/storeaccess.h
+++ b/src/proxy/storeaccess.h
@@ -21,6 +21,10 @@
 /** Offset in one of the store's logs. */
 using StoreOffset = std::uint64_t;
 
+/** Number of the store's history. It rises when the store is restored from a copy: what was written since the copy is gone,
+ * and its offsets are given out again. */
+using StoreHistoryNumber = std::uint64_t;
+
 /** Newest configuration; text is empty if nothing was written since the offset. */
 struct ConfigurationUpdate {
     std::string text; ///< as the operator wrote it; input of decodeConfiguration
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -154,6 +154,8 @@
     bool changed = false;
     fleet::UpstreamDelta delta;
     if (update.complete) {
+        telemetry::writeLog(
+            LogLevel::Info, "read upstreams", "all", {{"from", std::to_string(m_upstreamsNext)}, {"next", std::to_string(update.next)}});
         std::vector<fleet::UpstreamEntry> entries;
         for (const UpstreamChange &change : update.changes) {
             if (!change.removed) {
--- a/test/error/upstreamheaders_test.cpp
+++ b/test/error/upstreamheaders_test.cpp
@@ -1,4 +1,5 @@
-/** Malformed and hostile headers about an upstream's own state have a bounded effect or none. */
+/** Malformed and hostile headers about the state of an upstream or of the store have a bounded effect or none. */
+#include "platform/storeclient.h"
 #include "platform/upstreamheaders.h"
 
 #include <doctest/doctest.h>
@@ -43,3 +44,12 @@
     CHECK(platform::decodeSignals(200, {{"server-leaving", "x"}, {"Server-Leaving", "1"}}).leaving);
     CHECK(platform::decodeSignals(503, {{"Server-Leaving", "1"}}).leaving);
 }
+
+TEST_CASE("a malformed number of the store's history counts as none")
+{
+    for (const char *value : {"", "x", "-1", "1.5", "0x10", "+1", "99999999999999999999999"}) {
+        CHECK_MESSAGE(!platform::decodeHistory({{"Store-Era", value}}).has_value(), "accepted: '" << value << "'");
+    }
+    CHECK(platform::decodeHistory({{"store-era", "7"}}) == 7);
+    CHECK(!platform::decodeHistory({}).has_value());
+}
--- a/test/standins/platformstore.cpp
+++ b/test/standins/platformstore.cpp
@@ -65,6 +65,28 @@
     });
 }
 
+PlatformStore::Copy PlatformStore::copy()
+{
+    Copy copy;
+    m_server.loop().call([&] {
+        copy = m_topics;
+    });
+    return copy;
+}
+
+void PlatformStore::restore(const Copy &copy)
+{
+    m_server.loop().call([&] {
+        m_topics = copy;
+        ++m_history;
+    });
+}
+
+void PlatformStore::reply(const StandinServer::Exchange &exchange, int status, const std::string &body) const
+{
+    exchange->reply(status, {{"Store-Era", std::to_string(m_history)}}, body);
+}
+
 int PlatformStore::calls()
 {
     int count = 0;
@@ -92,10 +114,10 @@
     ++m_calls;
     switch (m_fault) {
     case StoreFault::Busy:
-        exchange->reply(unavailable, {}, "");
+        reply(exchange, unavailable, "");
         return;
     case StoreFault::TooMany:
-        exchange->reply(tooMany, {}, "");
+        reply(exchange, tooMany, "");
         return;
     case StoreFault::Silent:
         m_silent.push_back(exchange);
@@ -123,7 +145,7 @@
         answerAppend(exchange, request);
     } else {
         constexpr int notFound = 404;
-        exchange->reply(notFound, {}, "");
+        reply(exchange, notFound, "");
     }
 }
 
@@ -132,9 +154,9 @@
     const Topic &topic = m_topics[queryParameter(target, "topic")];
     const std::uint64_t from = net::parseNumber(queryParameter(target, "from")).value_or(0);
     const Duration wait = std::chrono::milliseconds{net::parseNumber(queryParameter(target, "wait-ms")).value_or(0)};
-    if (from < topic.first) {
+    if (from < topic.first || from > topic.records.size()) {
         constexpr int gone = 410;
-        exchange->reply(gone, {}, nlohmann::json{{"first", topic.first}}.dump());
+        reply(exchange, gone, nlohmann::json{{"first", topic.first}}.dump());
         return;
     }
     if (from >= topic.records.size() && waited < wait) {
@@ -151,7 +173,7 @@
         body += bigEndian(1 + record.key.size() + record.value.size(), 4);
         body += bigEndian(record.key.size(), 1) + record.key + record.value;
     }
-    exchange->reply(ok, {}, body);
+    reply(exchange, ok, body);
 }
 
 void PlatformStore::answerNewest(const StandinServer::Exchange &exchange, const std::string &target)
@@ -168,7 +190,7 @@
             items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", offset}});
         }
     }
-    exchange->reply(ok, {}, nlohmann::json{{"items", items}, {"has-more", false}, {"end-offset", topic.records.size()}}.dump());
+    reply(exchange, ok, nlohmann::json{{"items", items}, {"has-more", false}, {"end-offset", topic.records.size()}}.dump());
 }
 
 void PlatformStore::answerAppend(const StandinServer::Exchange &exchange, const net::RequestContent &request)
@@ -184,7 +206,7 @@
         position += 4 + size;
     }
     if (m_fault == StoreFault::None) {
-        exchange->reply(ok, {}, nlohmann::json{{"end-offset", topic.records.size()}}.dump());
+        reply(exchange, ok, nlohmann::json{{"end-offset", topic.records.size()}}.dump());
     }
 }
 
--- a/test/standins/platformstore.h
+++ b/test/standins/platformstore.h
@@ -22,7 +22,19 @@
 /** In-memory keyed log topics. Methods may be called from any thread. */
 class PlatformStore
 {
+    struct Record {
+        std::string key;
+        std::string value;
+    };
+    struct Topic {
+        std::vector<Record> records; ///< all records of this history
+        std::uint64_t first = 0; ///< first offset that log-read serves
+    };
+
 public:
+    /** Contents at one moment. */
+    using Copy = std::map<std::string, Topic>;
+
     PlatformStore();
 
     const StandinServer &server() const;
@@ -35,6 +47,13 @@
 
     void setFault(StoreFault fault);
 
+    /** Returns a copy from which the store can be restored. */
+    Copy copy();
+
+    /** Restores the store from a copy: what was written since is gone, offsets are given out again, and the number of the
+     * history that all answers carry rises by one. */
+    void restore(const Copy &copy);
+
     /** Number of calls received so far. */
     int calls();
 
@@ -42,22 +61,16 @@
     std::string newest(const std::string &topic, const std::string &key);
 
 private:
-    struct Record {
-        std::string key;
-        std::string value;
-    };
-    struct Topic {
-        std::vector<Record> records; ///< all records ever appended
-        std::uint64_t first = 0; ///< first offset that log-read serves
-    };
-
     void handle(const StandinServer::Exchange &exchange, const net::RequestContent &request);
     void answer(const StandinServer::Exchange &exchange, const net::RequestContent &request);
     void answerRead(const StandinServer::Exchange &exchange, const std::string &target, Duration waited);
     void answerNewest(const StandinServer::Exchange &exchange, const std::string &target);
     void answerAppend(const StandinServer::Exchange &exchange, const net::RequestContent &request);
 
-    std::map<std::string, Topic> m_topics;
+    void reply(const StandinServer::Exchange &exchange, int status, const std::string &body) const;
+
+    Copy m_topics;
+    int m_history = 1;
     std::vector<StandinServer::Exchange> m_silent; ///< never answered
     StoreFault m_fault = StoreFault::None;
     int m_calls = 0;
