Tie offsets of the store to its history, and keep what a restored store forgot

Cause: an offset was taken as a place in the log for ever. A restored store gives offsets out again, and once it has as many records as before nobody answers 410, so the records in between are skipped. Its list of upstreams was taken as complete, and the removal of those it lacks left tombstones that reject the same report when it is written again. Class of fault: a position is used without the identity of the sequence that it belongs to.

Fix: the number of the store's history is decoded in src/platform, and a position is a history with an offset (fleet::StorePosition). The replica reads in full when an answer's history is not that of its position, and drops answers of a history that has ended. Upstreams that a restored store lacks stay for 2.5 s, until they write their entry again, the same report included. Instances tell the number in their notices, and register again, spread over 3 s. Configurations go forward only, and what had left or drains is not brought back, as before.

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -68,7 +68,11 @@
 
 json encodePayload(const StoreNotice &notice)
 {
-    return json::array({notice.configurationVersion, notice.catalogue, notice.age.count()});
+    json fields = json::array({notice.configurationVersion, notice.catalogue, notice.age.count()});
+    if (notice.history) {
+        fields.push_back(*notice.history);
+    }
+    return fields;
 }
 
 json encodePayload(const UpstreamDelta &delta)
@@ -134,6 +138,16 @@
     return notice;
 }
 
+StoreNotice decodeStoreNotice(const json &in)
+{
+    StoreNotice notice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), Duration{in.at(2).get<Duration::rep>()}};
+    constexpr std::size_t historyIndex = 3; // not sent by instances of an earlier version
+    if (in.size() > historyIndex) {
+        notice.history = in.at(historyIndex).get<StoreHistoryNumber>();
+    }
+    return notice;
+}
+
 UpstreamDelta decodeDelta(const json &in)
 {
     UpstreamDelta delta;
@@ -179,7 +193,7 @@
     case 2:
         return CrashNotice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint32_t>()};
     case 3:
-        return StoreNotice{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), Duration{in.at(2).get<Duration::rep>()}};
+        return decodeStoreNotice(in);
     case 4:
         return decodeDelta(in);
     case 5:
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "fleet/crashtracker.h"
+#include "fleet/storehistory.h"
 #include "fleet/upstreamcatalogue.h"
 #include "membership/membershipmessage.h"
 
@@ -99,6 +100,7 @@
     std::uint64_t configurationVersion = 0; ///< zero if there is none
     std::uint64_t catalogue = 0; ///< fingerprint of the upstream catalogue
     Duration age{}; ///< time since the start of the sender's last complete read
+    std::optional<StoreHistoryNumber> history = std::nullopt; ///< the latest that the sender knows of
 
     bool operator==(const StoreNotice &) const = default;
 };
--- a/src/fleet/upstreamcatalogue.cpp
+++ b/src/fleet/upstreamcatalogue.cpp
@@ -10,6 +10,8 @@
 
 /** All tombstones are discarded when their number reaches this limit. */
 constexpr std::size_t maximumTombstones = 10000;
+/** By then an upstream that is alive has written its entry to the restored store again, and a reader has read it. */
+constexpr Duration confirmationTime = std::chrono::milliseconds{2500};
 
 } // namespace
 
@@ -27,6 +29,7 @@
 
 CatalogueChange UpstreamCatalogue::apply(const UpstreamEntry &entry)
 {
+    confirm(entry);
     if (outdated(entry)) {
         return CatalogueChange::Nothing;
     }
@@ -55,12 +58,22 @@
     }
     m_tombstones[id] = {id, known->second.incarnation, known->second.sequence};
     m_entries.erase(known);
+    m_unconfirmed.erase(id);
     return CatalogueChange::Removed;
 }
 
-bool UpstreamCatalogue::replace(const std::vector<UpstreamEntry> &entries)
+/** An upstream that writes its latest report, or a later one, is alive. */
+void UpstreamCatalogue::confirm(const UpstreamEntry &entry)
+{
+    const UpstreamEntry *known = find(entry.id);
+    if (known != nullptr && entry.incarnation >= known->incarnation && entry.sequence >= known->sequence) {
+        m_unconfirmed.erase(entry.id);
+    }
+}
+
+/** Returns the known upstreams that are not listed. */
+std::vector<UpstreamId> UpstreamCatalogue::applyAll(const std::vector<UpstreamEntry> &entries, bool &changed)
 {
-    bool changed = false;
     std::set<UpstreamId> listed;
     for (const UpstreamEntry &entry : entries) {
         listed.insert(entry.id);
@@ -72,12 +85,42 @@
             missing.push_back(id);
         }
     }
+    return missing;
+}
+
+bool UpstreamCatalogue::replace(const std::vector<UpstreamEntry> &entries)
+{
+    bool changed = false;
+    const std::vector<UpstreamId> missing = applyAll(entries, changed);
     for (const UpstreamId &id : missing) {
         remove(id);
     }
     return changed || !missing.empty();
 }
 
+bool UpstreamCatalogue::restore(TimePoint now, const std::vector<UpstreamEntry> &entries)
+{
+    bool changed = false;
+    for (const UpstreamId &id : applyAll(entries, changed)) {
+        m_unconfirmed.try_emplace(id, now + confirmationTime);
+    }
+    return changed;
+}
+
+bool UpstreamCatalogue::expireUnconfirmed(TimePoint now)
+{
+    std::vector<UpstreamId> expired;
+    for (const auto &[id, until] : m_unconfirmed) {
+        if (now >= until) {
+            expired.push_back(id);
+        }
+    }
+    for (const UpstreamId &id : expired) {
+        remove(id);
+    }
+    return !expired.empty();
+}
+
 CatalogueChange UpstreamCatalogue::remove(const UpstreamTombstone &tombstone)
 {
     const UpstreamEntry *known = find(tombstone.id);
--- a/src/fleet/upstreamcatalogue.h
+++ b/src/fleet/upstreamcatalogue.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "base/time.h"
 #include "fleet/upstreamentry.h"
 
 #include <cstdint>
@@ -51,6 +52,13 @@
     /** Applies all entries and removes upstreams that are not listed. Returns true if anything changed. */
     bool replace(const std::vector<UpstreamEntry> &entries);
 
+    /** Applies all entries of a store that was restored from a copy. Entries that are not listed stay for a while, since the copy
+     * may lack them; an upstream that is alive writes its entry again. Returns true if anything changed. */
+    bool restore(TimePoint now, const std::vector<UpstreamEntry> &entries);
+
+    /** Removes the entries that have not been written again in time. Returns true if there were any. */
+    bool expireUnconfirmed(TimePoint now);
+
     /** Returns all entries, sorted by id. */
     std::vector<UpstreamEntry> entries() const;
 
@@ -61,9 +69,12 @@
 
 private:
     bool outdated(const UpstreamEntry &entry) const;
+    std::vector<UpstreamId> applyAll(const std::vector<UpstreamEntry> &entries, bool &changed);
+    void confirm(const UpstreamEntry &entry);
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, UpstreamTombstone> m_tombstones;
+    std::map<UpstreamId, TimePoint> m_unconfirmed; ///< missing in a restored store, with the time of their removal
 };
 
 } // namespace jackdawdoor::fleet
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -2,7 +2,6 @@
 
 #include "platform/documents.h"
 #include "platform/names.h"
-#include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -153,17 +152,6 @@
                             }});
 }
 
-void StoreClient::logHistory(const std::optional<proxy::StoreHistoryNumber> &history)
-{
-    if (history && history != m_history) {
-        telemetry::writeLog(telemetry::LogLevel::Info,
-                            "call store",
-                            m_history ? "an answer from another history" : "first answer",
-                            {{"history", std::to_string(*history)}, {"before", m_history ? std::to_string(*m_history) : ""}});
-        m_history = history;
-    }
-}
-
 void StoreClient::endCall(Call *call, const Result<Answer> &answer)
 {
     const auto position = m_calls.find(call);
@@ -173,9 +161,6 @@
     if (answered && call->connection->reusable() && m_idle.size() < maximumIdle) {
         m_idle.push_back(std::move(call->connection));
     }
-    if (answered) {
-        logHistory(answer.value().history);
-    }
     m_onCall(call->name, answered && answer.value().status == ok);
     call->hook(answer);
 }
@@ -199,8 +184,15 @@
             done(storeError("log-newest", "status " + std::to_string(answer.value().status)));
             return;
         }
-        // The pages are not one snapshot, so later reads start at the end offset of the first page.
-        collected->next = collected->records.empty() ? page->next : std::min(collected->next, page->next);
+        page->next.history = answer.value().history;
+        if (collected->records.empty()) {
+            collected->next = page->next;
+        } else if (collected->next.history != page->next.history) {
+            done(storeError("log-newest", "the store was restored between two pages"));
+            return;
+        }
+        // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
+        collected->next.offset = std::min(collected->next.offset, page->next.offset);
         collected->records.insert(collected->records.end(), page->records.begin(), page->records.end());
         if (page->hasMore && !page->records.empty()) {
             readNewest(topic, page->records.back().key, collected, done);
@@ -210,10 +202,10 @@
     });
 }
 
-void StoreClient::readChanges(const char *topic, proxy::StoreOffset from, Duration wait, const Continuation<LogRecords> &done)
+void StoreClient::readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done)
 {
     const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    const std::string target = std::string("/v1/log-read?topic=") + topic + "&part=0&from=" + std::to_string(from)
+    const std::string target = std::string("/v1/log-read?topic=") + topic + "&part=0&from=" + std::to_string(from.offset)
                                + "&wait-ms=" + std::to_string(waitMilliseconds);
     call("log-read", "GET", target, {}, callTimeout + wait, [from, done](const Result<Answer> &answer) {
         if (!answer.has_value()) {
@@ -225,11 +217,14 @@
             done(storeError("log-read", answer.value().status == gone ? "gone" : "status " + std::to_string(answer.value().status)));
             return;
         }
+        if (answer.value().history) {
+            records->next.history = answer.value().history;
+        }
         done(std::move(*records));
     });
 }
 
-void StoreClient::readConfiguration(proxy::StoreOffset from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done)
+void StoreClient::readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done)
 {
     const auto newestConfiguration = [](const std::vector<KeyedRecord> &records) {
         std::string text;
@@ -240,30 +235,30 @@
         }
         return text;
     };
-    if (from == 0) {
+    if (from.offset == 0) {
         readNewest(names::operatorTopic, {}, std::make_shared<NewestPage>(), [done, newestConfiguration](const Result<NewestPage> &page) {
             if (!page.has_value()) {
                 done(page.error());
                 return;
             }
-            done(proxy::ConfigurationUpdate{newestConfiguration(page.value().records), page.value().next});
+            done(proxy::ConfigurationUpdate{newestConfiguration(page.value().records), page.value().next, true});
         });
         return;
     }
     readChanges(names::operatorTopic, from, wait, [this, done, newestConfiguration, wait](const Result<LogRecords> &records) {
         if (records.has_value()) {
-            done(proxy::ConfigurationUpdate{newestConfiguration(records.value().records), records.value().next});
+            done(proxy::ConfigurationUpdate{newestConfiguration(records.value().records), records.value().next, false});
         } else if (records.error().reason == "gone") {
-            readConfiguration(0, wait, done);
+            readConfiguration({}, wait, done);
         } else {
             done(records.error());
         }
     });
 }
 
-void StoreClient::readUpstreams(proxy::StoreOffset from, const Continuation<proxy::UpstreamUpdate> &done)
+void StoreClient::readUpstreams(const fleet::StorePosition &from, const Continuation<proxy::UpstreamUpdate> &done)
 {
-    if (from == 0) {
+    if (from.offset == 0) {
         readNewest(names::upstreamTopic, {}, std::make_shared<NewestPage>(), [done](const Result<NewestPage> &page) {
             if (!page.has_value()) {
                 done(page.error());
@@ -284,7 +279,7 @@
             addChanges(records.value().records, update);
             done(std::move(update));
         } else if (records.error().reason == "gone") {
-            readUpstreams(0, done);
+            readUpstreams({}, done);
         } else {
             done(records.error());
         }
@@ -309,7 +304,7 @@
 void StoreClient::listInstances(const Continuation<membership::InstanceList> &done)
 {
     // The whole log in one call. Once its oldest records have been deleted, the newest ones are read in pages.
-    readChanges(names::instanceTopic, 0, Duration::zero(), [this, done](const Result<LogRecords> &log) {
+    readChanges(names::instanceTopic, {}, Duration::zero(), [this, done](const Result<LogRecords> &log) {
         if (log.has_value()) {
             done(listedInstances(log.value().records));
             return;
@@ -332,10 +327,10 @@
 {
     m_onCall = std::move(onCall);
     proxy::StoreAccess hooks;
-    hooks.readConfiguration = [this](proxy::StoreOffset from, Duration wait, const auto &done) {
+    hooks.readConfiguration = [this](const fleet::StorePosition &from, Duration wait, const auto &done) {
         readConfiguration(from, wait, done);
     };
-    hooks.readUpstreams = [this](proxy::StoreOffset from, const auto &done) {
+    hooks.readUpstreams = [this](const fleet::StorePosition &from, const auto &done) {
         readUpstreams(from, done);
     };
     hooks.registerInstance = [this](const membership::ListedInstance &self, const auto &done) {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -16,7 +16,7 @@
 struct KeyedRecord {
     std::string key;
     std::string value;
-    proxy::StoreOffset offset = 0;
+    std::uint64_t offset = 0;
 
     bool operator==(const KeyedRecord &) const = default;
 };
@@ -24,25 +24,25 @@
 /** Records of a log from an offset on. */
 struct LogRecords {
     std::vector<KeyedRecord> records;
-    proxy::StoreOffset next = 0;
+    fleet::StorePosition next;
 
     bool operator==(const LogRecords &) const = default;
 };
 
 /** Decodes the answer to log-read; from is the offset of its first record. Nothing if the bytes are malformed. */
-std::optional<LogRecords> decodeRecords(std::string_view bytes, proxy::StoreOffset from);
+std::optional<LogRecords> decodeRecords(std::string_view bytes, const fleet::StorePosition &from);
 
 /** Page of the newest record of each key. */
 struct NewestPage {
     std::vector<KeyedRecord> records;
-    proxy::StoreOffset next = 0;
+    fleet::StorePosition next;
     bool hasMore = false;
 };
 /** Decodes the answer to log-newest. Nothing if the text is malformed. */
 std::optional<NewestPage> decodeNewest(std::string_view text);
 
 /** Returns the number of the store's history in the head of an answer. Nothing if there is none; an unusable one is logged. */
-std::optional<proxy::StoreHistoryNumber> decodeHistory(const net::Headers &headers);
+std::optional<fleet::StoreHistoryNumber> decodeHistory(const net::Headers &headers);
 
 /** Encodes a record of a keyed topic for log-append. */
 std::string encodeRecord(const std::string &key, const std::string &value);
@@ -65,7 +65,7 @@
 private:
     struct Answer {
         int status = 0;
-        std::optional<proxy::StoreHistoryNumber> history;
+        std::optional<fleet::StoreHistoryNumber> history;
         std::string body;
     };
     struct Call;
@@ -79,15 +79,14 @@
               const std::string &body,
               Duration timeout,
               AnswerHook hook);
-    void logHistory(const std::optional<proxy::StoreHistoryNumber> &history);
     void endCall(Call *call, const Result<Answer> &answer);
     void readNewest(const char *topic,
                     const std::string &after,
                     const std::shared_ptr<NewestPage> &collected,
                     const Continuation<NewestPage> &done);
-    void readChanges(const char *topic, proxy::StoreOffset from, Duration wait, const Continuation<LogRecords> &done);
-    void readConfiguration(proxy::StoreOffset from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done);
-    void readUpstreams(proxy::StoreOffset from, const Continuation<proxy::UpstreamUpdate> &done);
+    void readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done);
+    void readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done);
+    void readUpstreams(const fleet::StorePosition &from, const Continuation<proxy::UpstreamUpdate> &done);
     void registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done);
     void listInstances(const Continuation<membership::InstanceList> &done);
 
@@ -96,7 +95,6 @@
     std::function<void(const char *, bool)> m_onCall;
     std::vector<std::unique_ptr<proxy::OutboundConnection>> m_idle;
     std::map<Call *, std::unique_ptr<Call>> m_calls;
-    std::optional<proxy::StoreHistoryNumber> m_history; ///< of the latest answer
 };
 
 } // namespace jackdawdoor::platform
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-std::optional<LogRecords> decodeRecords(std::string_view bytes, proxy::StoreOffset from)
+std::optional<LogRecords> decodeRecords(std::string_view bytes, const fleet::StorePosition &from)
 {
     if (bytes.size() < 2 * offsetSize) {
         return std::nullopt;
@@ -58,7 +58,7 @@
             return std::nullopt;
         }
         KeyedRecord record;
-        record.offset = result.next++;
+        record.offset = result.next.offset++;
         // A record without a valid key is skipped.
         if (splitRecord(bytes.substr(position, size), record)) {
             result.records.push_back(std::move(record));
@@ -74,12 +74,12 @@
     try {
         const json document = json::parse(text);
         NewestPage page;
-        page.next = document.at("end-offset").get<proxy::StoreOffset>();
+        page.next.offset = document.at("end-offset").get<std::uint64_t>();
         page.hasMore = document.value("has-more", false);
         for (const json &item : document.at("items")) {
             KeyedRecord record;
             record.key = item.at("key").get<std::string>();
-            record.offset = item.value("offset", proxy::StoreOffset{0});
+            record.offset = item.value("offset", std::uint64_t{0});
             if (!absl::Base64Unescape(item.at("value").get<std::string>(), &record.value)) {
                 record.value = "?"; // not valid JSON: keeps the key, but decodes to no entry
             }
@@ -91,7 +91,7 @@
     }
 }
 
-std::optional<proxy::StoreHistoryNumber> decodeHistory(const net::Headers &headers)
+std::optional<fleet::StoreHistoryNumber> decodeHistory(const net::Headers &headers)
 {
     const std::string text = net::findHeader(headers, names::storeHistoryHeader);
     const auto number = net::parseNumber(text);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -21,6 +21,8 @@
 constexpr Duration prunePeriod = std::chrono::milliseconds{500};
 /** Load reports go to an instance for this long after its own last report as a serving one. */
 constexpr Duration servingLifetime = std::chrono::milliseconds{2500};
+/** Spreads the registrations of all instances after the store was restored. */
+constexpr Duration registrationSpread = std::chrono::seconds{3};
 constexpr Duration registrationRetry = std::chrono::seconds{2};
 /** The instance list is read once after registration, since later instances contact this one. Repeated reads find instances
  * that no membership message has reached. */
@@ -90,6 +92,9 @@
         const TimePoint now = net::now();
         m_context.crashes.onRemoved(now, m_context.upstreams.setEntries(now, m_storeReplica->catalogue().entries()));
     };
+    hooks.onRestored = [this] {
+        onStoreRestored();
+    };
     hooks.onDelta = [this](const fleet::UpstreamDelta &delta) {
         shareDelta(delta);
     };
@@ -249,14 +254,23 @@
     }
     m_nextRegistration = now + registrationRetry;
     m_access.registerInstance({m_settings.instance, m_settings.peers.text(), m_settings.dataCentre, false},
-                              [this](const Result<bool> &done) {
-                                  m_registered = m_registered || done.has_value();
+                              [this, restorations = m_restorations](const Result<bool> &done) {
+                                  m_registered = m_registered || (done.has_value() && restorations == m_restorations);
                                   if (!done.has_value()) {
                                       telemetry::writeLog(LogLevel::Warning, "register instance", done.error().message());
                                   }
                               });
 }
 
+void Gateway::onStoreRestored()
+{
+    m_context.metrics.countStoreRestoration();
+    ++m_restorations;
+    m_registered = false;
+    // All instances learn of it at about the same time.
+    m_nextRegistration = net::now() + fromSeconds(toSeconds(registrationSpread) * uniform(m_context.random));
+}
+
 void Gateway::readInstanceList()
 {
     const TimePoint now = net::now();
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -78,6 +78,7 @@
     void dispatch(const fleet::FleetDatagram &datagram);
     void logSendFailures();
     void registerSelf();
+    void onStoreRestored();
     void readInstanceList();
     void supersedePreviousIncarnation();
     void contactSeeds(TimePoint now);
@@ -110,6 +111,7 @@
     TimePoint m_nextSeedContact{};
     TimePoint m_stopBegin{};
     bool m_registered = false;
+    int m_restorations = 0; ///< of the store; a registration from before one does not count
     bool m_serving = false; ///< callers use this instance, by its last load report
     std::uint64_t m_loggedSendFailures = 0;
     std::function<void()> m_onStopped;
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -32,6 +32,8 @@
         counter(registry, "jackdawdoor_upstreams_leaving_total", "Upstreams that announced in an answer that they leave, by source");
     prometheus::Counter &rests =
         counter(registry, "jackdawdoor_upstream_rests_total", "Rejections with a Retry-After by upstreams").Add({});
+    prometheus::Counter &storeRestorations =
+        counter(registry, "jackdawdoor_store_restorations_total", "Restorations of the store from a copy").Add({});
     prometheus::Family<prometheus::Counter> &storeCalls =
         counter(registry, "jackdawdoor_store_calls_total", "Calls to the store by result");
     prometheus::Histogram &latency = prometheus::BuildHistogram()
@@ -81,6 +83,11 @@
     m_families->rests.Increment();
 }
 
+void ProxyMetrics::countStoreRestoration()
+{
+    m_families->storeRestorations.Increment();
+}
+
 void ProxyMetrics::countStoreCall(std::string_view call, bool succeeded)
 {
     m_families->storeCalls.Add({{"call", std::string(call)}, {"result", succeeded ? "answered" : "failed"}}).Increment();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -36,6 +36,9 @@
     /** Counts a rejection with which an upstream asked this instance for a rest. */
     void countRest();
 
+    /** Counts a restoration of the store from a copy. */
+    void countStoreRestoration();
+
     /** Counts an ended call to the store. */
     void countStoreCall(std::string_view call, bool succeeded);
 
--- a/src/proxy/storeaccess.h
+++ b/src/proxy/storeaccess.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "fleet/storehistory.h"
 #include "fleet/upstreamentry.h"
 #include "membership/instancelist.h"
 #include "routing/routetable.h"
@@ -18,17 +19,11 @@
 
 namespace jackdawdoor::proxy {
 
-/** Offset in one of the store's logs. */
-using StoreOffset = std::uint64_t;
-
-/** Number of the store's history. It rises when the store is restored from a copy: what was written since the copy is gone,
- * and its offsets are given out again. */
-using StoreHistoryNumber = std::uint64_t;
-
-/** Newest configuration; text is empty if nothing was written since the offset. */
+/** Newest configuration; text is empty if nothing was written since the position. */
 struct ConfigurationUpdate {
     std::string text; ///< as the operator wrote it; input of decodeConfiguration
-    StoreOffset next = 0;
+    fleet::StorePosition next;
+    bool complete = false; ///< the newest of all, not only of those since the position
 };
 
 /** Update or removal of an upstream. */
@@ -41,18 +36,19 @@
 /** Changes of upstreams in log order. complete: they are a full snapshot, which replaces the earlier state. */
 struct UpstreamUpdate {
     std::vector<UpstreamChange> changes;
-    StoreOffset next = 0;
+    fleet::StorePosition next;
     bool complete = false;
     int unreadable = 0; ///< number of entries that could not be decoded
 };
 
-/** Calls to the platform's store. The offset zero requests the full state. */
+/** Calls to the platform's store. The offset zero requests the full state. A store that no longer has the offset gives the full
+ * state, too. The caller checks with fleet::continues() whether the answer belongs to the history of its position. */
 struct StoreAccess {
     template <typename Value>
     using Continuation = std::function<void(const Result<Value> &)>;
 
-    std::function<void(StoreOffset from, Duration wait, Continuation<ConfigurationUpdate>)> readConfiguration;
-    std::function<void(StoreOffset from, Continuation<UpstreamUpdate>)> readUpstreams;
+    std::function<void(const fleet::StorePosition &from, Duration wait, Continuation<ConfigurationUpdate>)> readConfiguration;
+    std::function<void(const fleet::StorePosition &from, Continuation<UpstreamUpdate>)> readUpstreams;
     std::function<void(const membership::ListedInstance &self, Continuation<bool>)> registerInstance;
     std::function<void(Continuation<membership::InstanceList>)> listInstances;
     std::function<Result<routing::RouteTablePointer>(std::string_view text)> decodeConfiguration;
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -63,6 +63,9 @@
 
 void StoreReplica::tick(TimePoint now, const membership::MembershipView &view)
 {
+    if (m_catalogue.expireUnconfirmed(now)) {
+        publishCatalogue();
+    }
     if (m_readSchedule.shouldRead(now, view) && now >= m_retryAt && !m_upstreamsPending) {
         read(now);
     }
@@ -72,34 +75,87 @@
 {
     m_readSchedule.recordRead(now);
     m_upstreamsPending = true;
-    m_access.readUpstreams(m_upstreamsNext, [this, now](const Result<UpstreamUpdate> &update) {
-        m_upstreamsPending = false;
-        if (update.has_value()) {
-            applyUpstreams(update.value());
-        }
-        onReadEnd(now, update.has_value(), update.has_value() ? nullptr : &update.error());
-    });
+    readUpstreams(now, m_upstreamsNext);
     // While the store is unreachable, one call at a time is enough to detect its recovery.
     if (!m_storeReachable || m_configurationPending || now - m_configurationReadAt < minimumConfigurationInterval) {
         return;
     }
     m_configurationPending = true;
     m_configurationReadAt = now;
-    m_access.readConfiguration(
-        m_configurationNext, configurationLongPoll, [this, generation = m_configurationReadGeneration](const auto &update) {
-            if (generation != m_configurationReadGeneration) {
-                return; // abandoned when the store failed
-            }
-            m_configurationPending = false;
-            if (!update.has_value()) {
-                telemetry::writeLog(LogLevel::Warning, "read configuration", update.error().message());
-                return;
-            }
-            m_configurationNext = update.value().next;
-            if (!update.value().text.empty()) {
-                applyConfiguration(update.value().text, "store");
-            }
-        });
+    readConfiguration(m_configurationNext, configurationLongPoll);
+}
+
+void StoreReplica::readUpstreams(TimePoint now, const fleet::StorePosition &from)
+{
+    m_access.readUpstreams(from, [this, now, from](const Result<UpstreamUpdate> &update) {
+        if (update.has_value()) {
+            onUpstreamsRead(now, from, update.value());
+        } else {
+            m_upstreamsPending = false;
+            onReadEnd(now, false, &update.error());
+        }
+    });
+}
+
+void StoreReplica::onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update)
+{
+    const bool isCurrent = observeHistory(update.next.history, "store");
+    if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
+        readUpstreams(beginTime, {});
+        return;
+    }
+    m_upstreamsPending = false;
+    if (isCurrent) {
+        applyUpstreams(update);
+    }
+    const Error outdated{"read upstreams", "store", "the answer is from before the store was restored"};
+    onReadEnd(beginTime, isCurrent, &outdated);
+}
+
+void StoreReplica::readConfiguration(const fleet::StorePosition &from, Duration wait)
+{
+    m_access.readConfiguration(from, wait, [this, from, generation = m_configurationReadGeneration](const auto &update) {
+        if (generation != m_configurationReadGeneration) {
+            return; // abandoned when the store failed
+        }
+        if (update.has_value()) {
+            onConfigurationRead(from, update.value());
+            return;
+        }
+        m_configurationPending = false;
+        telemetry::writeLog(LogLevel::Warning, "read configuration", update.error().message());
+    });
+}
+
+void StoreReplica::onConfigurationRead(const fleet::StorePosition &from, const ConfigurationUpdate &update)
+{
+    const bool isCurrent = observeHistory(update.next.history, "store");
+    if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
+        readConfiguration({}, Duration::zero());
+        return;
+    }
+    m_configurationPending = false;
+    if (!isCurrent) {
+        return;
+    }
+    m_configurationNext = update.next;
+    if (!update.text.empty()) {
+        applyConfiguration(update.text, "store");
+    }
+}
+
+/** Returns false if what is stated belongs to a history that has ended. source: "store", or an instance. */
+bool StoreReplica::observeHistory(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source)
+{
+    const fleet::HistoryRelation relation = m_history.observe(stated);
+    if (relation == fleet::HistoryRelation::Later) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "read store",
+                            "the store was restored from a copy",
+                            {{"history", std::to_string(*stated)}, {"source", source}});
+        m_hooks.onRestored();
+    }
+    return relation != fleet::HistoryRelation::Earlier;
 }
 
 void StoreReplica::onReadEnd(TimePoint beginTime, bool succeeded, const Error *error)
@@ -154,28 +210,10 @@
     bool changed = false;
     fleet::UpstreamDelta delta;
     if (update.complete) {
-        telemetry::writeLog(
-            LogLevel::Info, "read upstreams", "all", {{"from", std::to_string(m_upstreamsNext)}, {"next", std::to_string(update.next)}});
-        std::vector<fleet::UpstreamEntry> entries;
-        for (const UpstreamChange &change : update.changes) {
-            if (!change.removed) {
-                entries.push_back(change.entry);
-            }
-        }
-        changed = m_catalogue.replace(entries);
+        changed = applyAllUpstreams(update);
     } else {
-        for (const UpstreamChange &change : update.changes) {
-            const auto effect = change.removed ? m_catalogue.remove(change.id) : m_catalogue.apply(change.entry);
-            if (effect == fleet::CatalogueChange::Nothing) {
-                continue;
-            }
-            changed = true;
-            if (change.removed) {
-                delta.tombstones.push_back(*m_catalogue.tombstone(change.id));
-            } else {
-                delta.entries.push_back(change.entry);
-            }
-        }
+        delta = applyChangedUpstreams(update.changes);
+        changed = !delta.entries.empty() || !delta.tombstones.empty();
     }
     m_upstreamsNext = update.next;
     if (changed) {
@@ -186,6 +224,42 @@
     }
 }
 
+bool StoreReplica::applyAllUpstreams(const UpstreamUpdate &update)
+{
+    std::vector<fleet::UpstreamEntry> entries;
+    for (const UpstreamChange &change : update.changes) {
+        if (!change.removed) {
+            entries.push_back(change.entry);
+        }
+    }
+    const bool restored = !fleet::continues(m_upstreamsNext, update.next);
+    telemetry::writeLog(LogLevel::Info,
+                        "read upstreams",
+                        restored ? "all, of a restored store" : "all",
+                        {{"from", std::to_string(m_upstreamsNext.offset)},
+                         {"next", std::to_string(update.next.offset)},
+                         {"entries", std::to_string(entries.size())}});
+    return restored ? m_catalogue.restore(net::now(), entries) : m_catalogue.replace(entries);
+}
+
+/** Returns the changes that were not known. */
+fleet::UpstreamDelta StoreReplica::applyChangedUpstreams(const std::vector<UpstreamChange> &changes)
+{
+    fleet::UpstreamDelta delta;
+    for (const UpstreamChange &change : changes) {
+        const auto effect = change.removed ? m_catalogue.remove(change.id) : m_catalogue.apply(change.entry);
+        if (effect == fleet::CatalogueChange::Nothing) {
+            continue;
+        }
+        if (change.removed) {
+            delta.tombstones.push_back(*m_catalogue.tombstone(change.id));
+        } else {
+            delta.entries.push_back(change.entry);
+        }
+    }
+    return delta;
+}
+
 void StoreReplica::applyDelta(const fleet::UpstreamDelta &delta)
 {
     bool changed = false;
@@ -219,6 +293,7 @@
 
 void StoreReplica::onNotice(TimePoint now, const fleet::StoreNotice &notice, const settings::Endpoint &stateAddress)
 {
+    observeHistory(notice.history, "instance");
     const TimePoint asOf = now - notice.age;
     const bool newerConfiguration = notice.configurationVersion > (m_table ? m_table->version() : 0);
     const bool newerUpstreams = notice.catalogue != m_fingerprint && notice.age < m_readSchedule.age(now);
@@ -301,7 +376,7 @@
 
 fleet::StoreNotice StoreReplica::notice(TimePoint now) const
 {
-    return {m_table ? m_table->version() : 0, m_fingerprint, m_readSchedule.age(now)};
+    return {m_table ? m_table->version() : 0, m_fingerprint, m_readSchedule.age(now), m_history.latest()};
 }
 
 bool StoreReplica::readsStore(TimePoint now) const
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -3,6 +3,8 @@
  * An instance reads the store itself when it is a reader or its replica is stale (fleet::StoreReaderElection). Otherwise a reader's
  * notice tells it that something changed, and it fetches the change from that reader. A configuration from either source is
  * applied only if its version is higher than the one in force.
+ *
+ * When the store was restored from a copy, offsets of its former history mean nothing any more: the next read is a full one.
  */
 #pragma once
 
@@ -26,6 +28,7 @@
     std::function<void(const routing::RouteTablePointer &)> onConfiguration; ///< a higher version is in force
     std::function<void()> onUpstreams; ///< the catalogue has changed
     std::function<void(const fleet::UpstreamDelta &)> onDelta; ///< changes found by a read of the store, for other instances
+    std::function<void()> onRestored; ///< the store was restored from a copy, so what this instance wrote there may be lost
 };
 
 /** Configuration and upstreams of one instance. Used on one loop. */
@@ -78,6 +81,13 @@
     };
 
     void read(TimePoint now);
+    void readUpstreams(TimePoint now, const fleet::StorePosition &from);
+    void readConfiguration(const fleet::StorePosition &from, Duration wait);
+    void onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update);
+    void onConfigurationRead(const fleet::StorePosition &from, const ConfigurationUpdate &update);
+    bool observeHistory(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source);
+    bool applyAllUpstreams(const UpstreamUpdate &update);
+    fleet::UpstreamDelta applyChangedUpstreams(const std::vector<UpstreamChange> &changes);
     void applyConfiguration(const std::string &text, const char *source);
     void applyUpstreams(const UpstreamUpdate &update);
     void onReadEnd(TimePoint beginTime, bool succeeded, const Error *error);
@@ -93,8 +103,9 @@
     std::string m_configurationText;
     fleet::UpstreamCatalogue m_catalogue;
     std::uint64_t m_fingerprint = 0;
-    StoreOffset m_configurationNext = 0;
-    StoreOffset m_upstreamsNext = 0;
+    fleet::StoreHistory m_history;
+    fleet::StorePosition m_configurationNext;
+    fleet::StorePosition m_upstreamsNext;
     bool m_configurationPending = false;
     std::uint64_t m_configurationReadGeneration = 0; ///< changes when a pending read is abandoned
     bool m_upstreamsPending = false;
