Soak: upstreams announce, the store is restored, and both rules are checked

Upstreams say that they leave (with and without the store's entry, then a new process at the same address and id), reject with Retry-After, and announce rate limits, each also with unusable values; every third failure of the store ends with its restoration from a copy of up to five seconds, after which the operator and the upstreams write again. soak::AnnouncementRules checks DRAIN and BUDGET from what callers and upstreams see, for each life of an instance; the newest configuration must be known everywhere after the faults. Rate limits are sent and not checked.

--- a/bench/soak/soak_main.cpp
+++ b/bench/soak/soak_main.cpp
@@ -1,7 +1,8 @@
 /** Soak test: runs real proxy processes on loopback, injects faults and checks what callers and upstreams observe.
  *
  * Faults overlap: processes are killed, paused, stopped as planned and told to reload their settings; the store fails in
- * several ways; upstreams fail, hang, send truncated or extra answers and drain; the configuration changes. The seed
+ * several ways and comes back from older copies; upstreams fail, hang, send truncated or extra answers, drain, and announce that
+ * they leave, rest or limit their rate; the configuration changes. The seed
  * determines the schedule, but not the timing of the processes. Terminates only processes that it started.
  */
 #include "soak/soakfleet.h"
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -16,6 +16,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 namespace jackdawdoor::soak {
 
@@ -27,6 +28,8 @@
 
 constexpr int upstreamCount = 6;
 constexpr Duration loopPeriod = std::chrono::milliseconds{100};
+/** The store is restored from a copy of up to this age, plus the time for which it was away. */
+constexpr Duration copyPeriod = std::chrono::seconds{5};
 constexpr Duration heartbeatPeriod = std::chrono::milliseconds{500};
 /** The specification allows 2 s from the store's acknowledgement, once the store has been free of faults for 3 s. */
 constexpr Duration drainBound = std::chrono::seconds{2};
@@ -44,6 +47,8 @@
     Broken,
     Extra,
     Slow,
+    Rest,
+    RateLimit,
     FaultCount,
 };
 
@@ -74,6 +79,7 @@
     , m_ledger(ledger)
     , m_random(seed)
     , m_basePort(standins::freePort() / portsPerInstance * portsPerInstance)
+    , m_answerRandom(seed + 1)
 {
     char folder[] = "/tmp/jackdawdoor-soak-XXXXXX";
     m_folder = mkdtemp(folder);
@@ -132,6 +138,7 @@
     Process &process = *m_processes[index];
     process.stopping = false;
     process.paused = false;
+    ++process.life;
     process.started = net::now();
     ++process.starts;
     process.pid = fork();
@@ -143,6 +150,53 @@
     }
 }
 
+void SoakFleet::checkArrival(const SoakUpstream &upstream, const std::string &id, TimePoint now)
+{
+    const auto sender = m_ledger.sender(id);
+    if (!sender) {
+        return; // not a request of the callers
+    }
+    // A request is judged by the life in which its caller sent it, unless that has ended.
+    if (sender->life != life(sender->life.instance)) {
+        return;
+    }
+    for (const std::string &broken : m_announcements.arrived(now, sender->sent, sender->life, {upstream.id, upstream.born})) {
+        m_ledger.violate(broken + " (" + id + ")");
+    }
+}
+
+/** Header lines that the upstream adds to its answer, each beginning with a line end. */
+std::string SoakFleet::announcement(const SoakUpstream &upstream, const std::string &id, int fault, TimePoint now)
+{
+    const std::lock_guard lock(m_drawMutex);
+    const auto drawn = [this](const auto &values) {
+        return values.at(m_answerRandom() % values.size());
+    };
+    std::string headers = "\r\nX-Soak-Upstream: " + upstream.id + " " + std::to_string(upstream.born);
+    if (upstream.leaving) {
+        headers += "\r\nServer-Leaving: 1";
+    } else if (m_answerRandom() % 50 == 0) {
+        headers += std::string("\r\nServer-Leaving: ") + drawn(std::array<const char *, 4>{"0", "", "soon", "-1"});
+    }
+    if (fault == RateLimit) {
+        headers += std::string("\r\nServer-Limit: ") + drawn(std::array<const char *, 5>{"5", "2.5", "x", "-1", "1e9"});
+    }
+    if (fault == Rest) {
+        struct Time {
+            const char *text;
+            double seconds; ///< zero: unusable
+        };
+        const Time time = drawn(
+            std::array<Time, 7>{{{"0.8", 0.8}, {"2", 2}, {"4", 4}, {"soon", 0}, {"-3", 0}, {"", 0}, {"Wed, 21 Oct 2026 07:28:00 GMT", 0}}});
+        headers += std::string("\r\nRetry-After: ") + time.text;
+        const auto sender = m_ledger.sender(id);
+        if (sender && time.seconds > 0) {
+            m_announcements.restAsked(now, sender->life, {upstream.id, upstream.born}, fromSeconds(time.seconds));
+        }
+    }
+    return headers;
+}
+
 ScriptedReply SoakFleet::answer(SoakUpstream &upstream, const ReceivedRequest &request)
 {
     const std::string id = request.header("X-Jackdawdoor-Request-Id");
@@ -153,16 +207,21 @@
         m_ledger.violate("DRAIN: " + id + " reached an upstream that had been draining for " + std::to_string(toMilliseconds(now - drained))
                          + " ms");
     }
-    const std::string good = ScriptedUpstream::answerTo(request, 200, "body of " + id);
-    const Duration work = std::chrono::milliseconds{20};
+    checkArrival(upstream, id, now);
     const int fault = upstream.fault;
-    if (fault == Shed) {
-        return {"HTTP/1.1 503 X\r\nX-Jackdawdoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false, false, false, {}};
+    const std::string headers = announcement(upstream, id, fault, now);
+    const auto withHeaders = [&headers](std::string bytes) {
+        return bytes.insert(bytes.find("\r\n"), headers);
+    };
+    const std::string good = withHeaders(ScriptedUpstream::answerTo(request, 200, "body of " + id));
+    const Duration work = std::chrono::milliseconds{20};
+    if (fault == Shed || fault == Rest) {
+        return {withHeaders("HTTP/1.1 503 X\r\nX-Jackdawdoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"), false, false, false, {}};
     }
-    m_ledger.run(id, fault == None || fault == Slow || fault == Extra);
+    m_ledger.run(id, fault == None || fault == Slow || fault == Extra || fault == RateLimit);
     switch (fault) {
     case Error:
-        return {ScriptedUpstream::answerTo(request, 500, "no"), false, false, false, {}};
+        return {withHeaders(ScriptedUpstream::answerTo(request, 500, "no")), false, false, false, {}};
     case Reset:
         return {{}, false, true, false, work};
     case Hang:
@@ -180,7 +239,13 @@
 
 void SoakFleet::putVersion()
 {
-    const int version = ++m_version;
+    ++m_version;
+    writeVersion();
+}
+
+void SoakFleet::writeVersion()
+{
+    const int version = m_version;
     char text[16];
     std::snprintf(text, sizeof(text), "%08x", static_cast<unsigned>(version));
     const std::string own = "/version-" + std::to_string(version) + "/";
@@ -194,7 +259,41 @@
 
 void SoakFleet::report(SoakUpstream &upstream)
 {
-    standins::putUpstream(m_store, upstream.id, upstream.server->address(), ++upstream.sequence, upstream.draining ? "draining" : "ready");
+    standins::putUpstream(
+        m_store, upstream.id, upstream.server->address(), ++upstream.sequence, upstream.draining ? "draining" : "ready", upstream.born);
+}
+
+/** The upstream says in its answers that it leaves. Its entry says so as well, or not. */
+void SoakFleet::beginLeaving(SoakUpstream &upstream, TimePoint now)
+{
+    upstream.leaving = true;
+    upstream.endsAt = now + std::chrono::milliseconds{3000 + draw(5000)};
+    if (draw(2) == 0) {
+        upstream.draining = true;
+        upstream.drainedAt = now.time_since_epoch().count();
+        report(upstream);
+    }
+}
+
+/** Replaces the processes of upstreams that have left by new ones, at the same address and with the same id. */
+void SoakFleet::restartUpstreams(TimePoint now)
+{
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->leaving && now >= upstream->endsAt) {
+            ++upstream->born;
+            upstream->leaving = false;
+            upstream->draining = false;
+            report(*upstream);
+        }
+    }
+}
+
+/** The store comes back from the copy; the operator and the upstreams write again. */
+void SoakFleet::restoreStore()
+{
+    m_store.restore(m_copy);
+    writeVersion();
+    sendHeartbeats();
 }
 
 void SoakFleet::sendHeartbeats()
@@ -217,6 +316,7 @@
     case 1:
         process.paused = true;
         process.pauseEnd = now + std::chrono::milliseconds{300 + draw(3000)};
+        ++process.life;
         kill(process.pid, SIGSTOP);
         return;
     case 2:
@@ -232,6 +332,13 @@
 void SoakFleet::injectUpstreamFault()
 {
     SoakUpstream &upstream = *m_upstreams[static_cast<std::size_t>(draw(upstreamCount))];
+    if (upstream.leaving) {
+        return;
+    }
+    if (draw(6) == 0 && &upstream != m_upstreams.front().get()) {
+        beginLeaving(upstream, net::now());
+        return;
+    }
     if (draw(5) == 0 && &upstream != m_upstreams.front().get()) {
         upstream.draining = !upstream.draining;
         upstream.drainedAt = net::now().time_since_epoch().count();
@@ -248,6 +355,7 @@
     constexpr std::array<StoreFault, 4> faults{StoreFault::Busy, StoreFault::TooMany, StoreFault::Silent, StoreFault::LostAnswer};
     m_storeFaultEnd = now + std::chrono::milliseconds{500 + draw(4000)};
     m_lastStoreFaultEnd = m_storeFaultEnd.time_since_epoch().count();
+    m_restoreAtFaultEnd = draw(3) == 0;
     m_store.setFault(faults.at(static_cast<std::size_t>(draw(4))));
 }
 
@@ -278,6 +386,7 @@
         Process &process = *m_processes[index];
         if (process.paused && now >= process.pauseEnd) {
             process.paused = false;
+            ++process.life;
             kill(process.pid, SIGCONT);
         }
         int status = 0;
@@ -304,9 +413,17 @@
             nextHeartbeat = now + heartbeatPeriod;
             sendHeartbeats();
         }
+        restartUpstreams(now);
         if (m_storeFaultEnd != TimePoint{} && now >= m_storeFaultEnd) {
+            if (std::exchange(m_restoreAtFaultEnd, false)) {
+                restoreStore();
+            }
             m_store.setFault(standins::StoreFault::None);
         }
+        if (now >= m_copiedAt + copyPeriod && now > m_storeFaultEnd) {
+            m_copy = m_store.copy();
+            m_copiedAt = now;
+        }
         if (draw(3) == 0) {
             injectRandomFault(now);
         }
@@ -319,8 +436,10 @@
     m_store.setFault(standins::StoreFault::None);
     for (const auto &upstream : m_upstreams) {
         upstream->fault = None;
+        upstream->endsAt = {};
         upstream->draining = false;
     }
+    restartUpstreams(net::now());
     sendHeartbeats();
     // Covers the longest pause and a planned stop, and lets instances notice that the upstreams have recovered.
     const TimePoint end = net::now() + std::chrono::seconds{8};
@@ -364,6 +483,16 @@
     return m_processes[index]->starts;
 }
 
+InstanceLife SoakFleet::life(std::size_t index) const
+{
+    return {index, m_processes[index]->life};
+}
+
+AnnouncementRules &SoakFleet::announcements()
+{
+    return m_announcements;
+}
+
 int SoakFleet::version() const
 {
     return m_version;
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -3,6 +3,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "soak/announcementrules.h"
 #include "soak/soakledger.h"
 #include "standins/platformstore.h"
 #include "standins/scriptedupstream.h"
@@ -52,6 +53,11 @@
     /** Number of times the instance has been started. */
     int incarnation(std::size_t index) const;
 
+    /** The present life of the instance. */
+    InstanceLife life(std::size_t index) const;
+
+    AnnouncementRules &announcements();
+
     /** Newest configuration version written to the store. */
     int version() const;
 
@@ -60,6 +66,7 @@
         pid_t pid = -1;
         std::atomic<bool> stopping{false};
         std::atomic<int> starts{0};
+        std::atomic<int> life{0}; ///< changes when the process is started, paused and resumed
         bool paused = false;
         TimePoint pauseEnd{};
         TimePoint started{};
@@ -70,6 +77,9 @@
         std::atomic<int> fault{0};
         std::atomic<bool> draining{false};
         std::atomic<TimePoint::rep> drainedAt{0};
+        std::atomic<bool> leaving{false}; ///< says so in its answers
+        std::atomic<std::int64_t> born{1};
+        TimePoint endsAt{}; ///< of the process, while leaving
         int sequence = 0;
     };
 
@@ -78,6 +88,12 @@
     void injectRandomFault(TimePoint now);
     void injectProcessFault(TimePoint now);
     void injectUpstreamFault();
+    void beginLeaving(SoakUpstream &upstream, TimePoint now);
+    void restartUpstreams(TimePoint now);
+    void restoreStore();
+    void checkArrival(const SoakUpstream &upstream, const std::string &id, TimePoint now);
+    std::string announcement(const SoakUpstream &upstream, const std::string &id, int fault, TimePoint now);
+    void writeVersion();
     void injectStoreFault(TimePoint now);
     void sendHeartbeats();
     void report(SoakUpstream &upstream);
@@ -97,6 +113,12 @@
     std::atomic<int> m_version{0};
     std::atomic<TimePoint::rep> m_lastStoreFaultEnd{0};
     TimePoint m_storeFaultEnd{};
+    standins::PlatformStore::Copy m_copy; ///< some seconds old
+    TimePoint m_copiedAt{};
+    bool m_restoreAtFaultEnd = false;
+    AnnouncementRules m_announcements;
+    std::mutex m_drawMutex; ///< of m_answerRandom
+    RandomSource m_answerRandom; ///< of the upstreams' threads
 };
 
 } // namespace jackdawdoor::soak
--- a/bench/soak/soakledger.cpp
+++ b/bench/soak/soakledger.cpp
@@ -13,6 +13,19 @@
 
 } // namespace
 
+void SoakLedger::send(const std::string &id, const SoakSender &sender)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries[id].sender = sender;
+}
+
+std::optional<SoakSender> SoakLedger::sender(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto entry = m_entries.find(id);
+    return entry == m_entries.end() ? std::nullopt : entry->second.sender;
+}
+
 void SoakLedger::run(const std::string &id, bool answered)
 {
     const std::lock_guard lock(m_mutex);
--- a/bench/soak/soakledger.h
+++ b/bench/soak/soakledger.h
@@ -1,18 +1,33 @@
 /** Record of what callers and upstreams of a soak test observed for each request, and of violated guarantees. */
 #pragma once
 
+#include "soak/announcementrules.h"
+
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace jackdawdoor::soak {
 
+/** Who sent a request, and when. */
+struct SoakSender {
+    InstanceLife life; ///< of the instance to which the caller sent it
+    TimePoint sent{};
+};
+
 /** Correlates both sides by request id. Thread-safe. */
 class SoakLedger
 {
 public:
+    /** Records that a caller is about to send the request. */
+    void send(const std::string &id, const SoakSender &sender);
+
+    /** Sender of a request, unless it was not recorded. */
+    std::optional<SoakSender> sender(const std::string &id);
+
     /** Records that an upstream ran the request. `answered`: it sent its complete answer. */
     void run(const std::string &id, bool answered);
 
@@ -38,6 +53,7 @@
         bool idempotent = true;
         int status = 0; ///< received by the caller; 0 without an answer
         bool cutByStop = false;
+        std::optional<SoakSender> sender = std::nullopt;
     };
 
     std::mutex m_mutex;
--- a/bench/soak/soakworkload.cpp
+++ b/bench/soak/soakworkload.cpp
@@ -1,10 +1,12 @@
 #include "soak/soakworkload.h"
 
+#include "net/eventloop.h"
 #include "net/httpmessage.h"
 #include "standins/rawclient.h"
 
 #include <cstdlib>
 #include <memory>
+#include <sstream>
 #include <stdexcept>
 
 namespace jackdawdoor::soak {
@@ -45,7 +47,7 @@
 
 } // namespace
 
-SoakWorkload::SoakWorkload(const SoakFleet &fleet, SoakLedger &ledger, std::uint64_t seed)
+SoakWorkload::SoakWorkload(SoakFleet &fleet, SoakLedger &ledger, std::uint64_t seed)
     : m_fleet(fleet)
     , m_ledger(ledger)
 {
@@ -86,8 +88,11 @@
         const bool idempotent = random() % 2 == 0;
         const int incarnation = m_fleet.incarnation(instance);
         const bool stoppingBefore = m_fleet.stopping(instance);
+        const InstanceLife life = m_fleet.life(instance);
+        m_ledger.send(id, {life, net::now()});
         client->send(request(idempotent ? "/safe/" : "/once/", id));
         const std::string answer = client->receiveAnswer();
+        noteLeaving(life, answer);
         const int status = statusOf(answer);
         if (status != noAnswer) {
             m_ledger.answer(id, idempotent, status);
@@ -108,6 +113,20 @@
     }
 }
 
+void SoakWorkload::noteLeaving(const InstanceLife &life, const std::string &answer)
+{
+    const std::string head = answer.substr(0, answer.find("\r\n\r\n"));
+    const std::string marker = "X-Soak-Upstream: ";
+    const std::size_t position = head.find(marker);
+    if (head.find("Server-Leaving: 1") == std::string::npos || position == std::string::npos) {
+        return;
+    }
+    std::istringstream text(head.substr(position + marker.size()));
+    UpstreamLife upstream;
+    text >> upstream.upstream >> upstream.born;
+    m_fleet.announcements().leavingPassedOn(net::now(), life, upstream);
+}
+
 void SoakWorkload::watchVersions(std::size_t instance)
 {
     int highest = 0;
@@ -140,6 +159,26 @@
     }
 }
 
+namespace {
+
+/** After the faults, each instance serves the route of the newest configuration. */
+void checkNewestVersion(const SoakFleet &fleet, SoakLedger &ledger, std::size_t instance)
+{
+    const int version = fleet.version();
+    const auto client = connectTo(fleet.address(instance));
+    if (client) {
+        client->send(request("/version-" + std::to_string(version) + "/", "v"));
+    }
+    const int status = client ? statusOf(client->receiveAnswer()) : noAnswer;
+    constexpr int notFound = 404;
+    if (status == notFound) {
+        ledger.violate("CONFIG: instance " + std::to_string(instance) + " does not know version " + std::to_string(version)
+                       + " after the faults");
+    }
+}
+
+} // namespace
+
 RecoveryCount countRecovery(const SoakFleet &fleet, SoakLedger &ledger)
 {
     constexpr int requestsPerInstance = 20;
@@ -157,6 +196,7 @@
             ++count.asked;
             count.answered += status == 200 ? 1 : 0;
         }
+        checkNewestVersion(fleet, ledger, instance);
     }
     return count;
 }
--- a/bench/soak/soakworkload.h
+++ b/bench/soak/soakworkload.h
@@ -15,16 +15,17 @@
 class SoakWorkload
 {
 public:
-    SoakWorkload(const SoakFleet &fleet, SoakLedger &ledger, std::uint64_t seed);
+    SoakWorkload(SoakFleet &fleet, SoakLedger &ledger, std::uint64_t seed);
     ~SoakWorkload();
     SoakWorkload(const SoakWorkload &) = delete;
     SoakWorkload &operator=(const SoakWorkload &) = delete;
 
 private:
     void callInstance(std::size_t instance, RandomSource random, const std::string &name);
+    void noteLeaving(const InstanceLife &life, const std::string &answer);
     void watchVersions(std::size_t instance);
 
-    const SoakFleet &m_fleet;
+    SoakFleet &m_fleet;
     SoakLedger &m_ledger;
     std::atomic<bool> m_ending{false};
     std::vector<std::thread> m_threads;
