--- a/src/fleet/announcedstate.cpp
+++ b/src/fleet/announcedstate.cpp
@@ -4,6 +4,22 @@
 
 namespace jackdawdoor::fleet {
 
+bool AnnouncedState::setLeaving(TimePoint now)
+{
+    if (leaving) {
+        return false;
+    }
+    leaving = true;
+    leavingSince = now;
+    return true;
+}
+
+void AnnouncedState::setRest(TimePoint now, Duration rest)
+{
+    restSince = resting(now) ? restSince : now;
+    restUntil = std::max(restUntil, now + rest);
+}
+
 Duration AnnouncedState::timeUntilAllowed(TimePoint now) const
 {
     if (leaving) {
--- a/src/fleet/announcedstate.h
+++ b/src/fleet/announcedstate.h
@@ -14,9 +14,17 @@
     FleetRateLimit rateLimit;
     /** The process is about to end. Nothing takes this back: the next process at the address is another incarnation. */
     bool leaving = false;
+    TimePoint leavingSince{};
     /** End of the time for which it wants no request from this instance. Not known to the other instances, since it concerns
      * this one only. */
     TimePoint restUntil{};
+    TimePoint restSince{};
+
+    /** The upstream announces that it leaves. Returns false if that was known. */
+    bool setLeaving(TimePoint now);
+
+    /** The upstream asks for a rest. A shorter one does not end an earlier one sooner. */
+    void setRest(TimePoint now, Duration rest);
 
     /** Returns the time until the next request may be sent: zero if it may be sent now, Duration::max() if none ever may. */
     Duration timeUntilAllowed(TimePoint now) const;
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -31,6 +31,9 @@
     std::size_t bodyBytes = 0; ///< of the request
 };
 
+/** True if a failed attempt can be followed by another one. */
+bool isRetryable(const ChoiceRequest &request);
+
 /** Why an upstream was chosen or none was. */
 enum class ChoiceReason {
     LeastCost,
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -3,7 +3,6 @@
 #include "base/stablehash.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jackdawdoor::fleet {
 
@@ -21,11 +20,6 @@
 /** Other instances are told at once of a request to an upstream that was idle for longer. Below the idle times from which
  * upstreamchoice covers an upstream, by more than the interval of load reports. */
 constexpr Duration noticedIdleTime = std::chrono::milliseconds{700};
-/** Announcements of an upstream without an entry are kept this long, far longer than an upstream takes to end after it has
- * announced that it leaves, and than its entry may be missing. */
-constexpr Duration announcementLifetime = std::chrono::minutes{15};
-/** All of them are discarded when their number reaches this limit. */
-constexpr std::size_t maximumRemoved = 10000;
 /** Weight of the latest answer in the exponential moving average of the latency. */
 constexpr double latencyWeight = 0.2;
 
@@ -86,32 +80,6 @@
     return gone;
 }
 
-void UpstreamTable::rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present)
-{
-    std::erase_if(m_removed, [now](const auto &removed) {
-        return now - removed.second.removedAt > announcementLifetime;
-    });
-    if (m_removed.size() >= maximumRemoved) {
-        m_removed.clear();
-    }
-    for (const auto &[id, record] : m_records) {
-        const auto found = present.find(id);
-        const bool stays = found != present.end() && found->second.key == record.key;
-        if (!stays && record.announced.active(now)) {
-            m_removed[{id, record.entry.incarnation}] = {record.announced, now};
-        }
-    }
-}
-
-void UpstreamTable::restoreAnnouncements(UpstreamRecord &record)
-{
-    const auto removed = m_removed.find({record.entry.id, record.entry.incarnation});
-    if (removed != m_removed.end()) {
-        record.announced = removed->second.announced;
-        m_removed.erase(removed);
-    }
-}
-
 const std::vector<UpstreamRecord *> &UpstreamTable::ofService(const ServiceId &service) const
 {
     static const std::vector<UpstreamRecord *> none;
@@ -146,40 +114,6 @@
     return idle ? std::optional(NoticeItem{record.key, 0, 1}) : std::nullopt;
 }
 
-std::optional<NoticeItem>
-UpstreamTable::recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered)
-{
-    UpstreamRecord *record = find(id, incarnation);
-    if (record == nullptr) {
-        return std::nullopt;
-    }
-    std::optional<NoticeItem> notice = recordRateLimit(now, *record, signals, answered);
-    if (signals.leaving && !std::exchange(record->announced.leaving, true)) {
-        notice = notice.value_or(NoticeItem{record->key});
-        notice->leaving = true;
-    }
-    if (signals.retryAfter) {
-        record->announced.restUntil = std::max(record->announced.restUntil, now + *signals.retryAfter);
-    }
-    return notice;
-}
-
-std::optional<NoticeItem>
-UpstreamTable::recordRateLimit(TimePoint now, UpstreamRecord &record, const UpstreamSignals &signals, bool answered)
-{
-    FleetRateLimit &limit = record.announced.rateLimit;
-    if (!signals.rateLimit) {
-        const bool ends = answered && limit.active();
-        if (ends) {
-            limit.clear();
-        }
-        return ends ? std::optional(NoticeItem{record.key, 0, 0, noRateLimit}) : std::nullopt;
-    }
-    const bool known = limit.active() && limit.requestsPerSecond() == *signals.rateLimit;
-    limit.set(now, *signals.rateLimit);
-    return known ? std::nullopt : std::optional(NoticeItem{record.key, 0, 0, signals.rateLimit});
-}
-
 void UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
 {
     if (UpstreamRecord *record = find(id, incarnation)) {
@@ -231,32 +165,6 @@
     }
 }
 
-std::vector<UpstreamEntry> UpstreamTable::applyNotice(TimePoint now, const UpstreamNotice &notice)
-{
-    std::vector<UpstreamEntry> newlyLeaving;
-    for (const NoticeItem &item : notice.items) {
-        UpstreamRecord *record = findKey(item.key);
-        if (record == nullptr) {
-            continue;
-        }
-        record->grayEstimate.addFailures(now, item.failures);
-        if (item.failures > 0 || item.begun > 0) {
-            record->lastUsed = now;
-        }
-        FleetRateLimit &limit = record->announced.rateLimit;
-        if (item.rateLimit == noRateLimit) {
-            limit.clear();
-        } else if (item.rateLimit) {
-            limit.set(now, *item.rateLimit);
-        }
-        limit.count(now, item.begun);
-        if (item.leaving && !std::exchange(record->announced.leaving, true)) {
-            newlyLeaving.push_back(record->entry);
-        }
-    }
-    return newlyLeaving;
-}
-
 void UpstreamTable::applyMisdirectedNotice(TimePoint now, const MisdirectedNotice &notice)
 {
     if (UpstreamRecord *record = findKey(notice.key)) {
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -55,6 +56,20 @@
     }
 };
 
+/** An announcement that is over: the upstream that left is gone, or the rest has ended. */
+struct AnnouncementEnd {
+    enum class What {
+        Leaving,
+        Rest,
+    };
+
+    UpstreamEntry upstream;
+    What what = What::Leaving;
+    Duration age{};
+
+    bool operator==(const AnnouncementEnd &) const = default;
+};
+
 /** Table of the upstreams of all services. */
 class UpstreamTable
 {
@@ -88,6 +103,9 @@
      * has made known as leaving. */
     std::vector<UpstreamEntry> applyNotice(TimePoint now, const UpstreamNotice &notice);
 
+    /** Returns the announcements that have ended since the last call, for the log. */
+    std::vector<AnnouncementEnd> takeAnnouncementEnds(TimePoint now);
+
     /** Applies another instance's finding that the address belongs to another upstream. */
     void applyMisdirectedNotice(TimePoint now, const MisdirectedNotice &notice);
 
@@ -128,6 +146,8 @@
     std::map<ServiceId, std::vector<UpstreamRecord *>> m_byService;
     std::unordered_map<std::uint32_t, UpstreamRecord *> m_byKey;
     std::map<InstanceId, PeerLoad> m_peers;
+    std::set<std::uint32_t> m_resting; ///< keys of upstreams whose rest has not been returned as ended
+    std::vector<AnnouncementEnd> m_ended;
     std::map<Identity, RemovedUpstream> m_removed; ///< upstreams without an entry that had announced something
 };
 
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "net/httpmessage.h"
 #include "placement/hostplacement.h"
+#include "proxy/proxylog.h"
 #include "telemetry/boundedlog.h"
 #include "telemetry/log.h"
 
@@ -198,6 +199,9 @@
     m_storeReplica->tick(now, *m_membership.view());
     m_proxy.tick(now);
     m_context.upstreams.expireReports(now);
+    for (const fleet::AnnouncementEnd &end : m_context.upstreams.takeAnnouncementEnds(now)) {
+        logAnnouncementEnd(end);
+    }
     sendReports(now);
     sendNotices(now);
     m_context.crashes.tick(now, m_membership.view()->members.size());
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -104,6 +104,18 @@
                          {"ms", milliseconds(rest)}});
 }
 
+void logAnnouncementEnd(const fleet::AnnouncementEnd &end)
+{
+    const bool left = end.what == fleet::AnnouncementEnd::What::Leaving;
+    telemetry::writeLog(LogLevel::Info,
+                        left ? "upstream leaves" : "upstream rests",
+                        left ? "its entry is gone" : "the rest is over",
+                        {{"service", end.upstream.service.value},
+                         {"upstream", end.upstream.id.value},
+                         {"incarnation", std::to_string(end.upstream.incarnation)},
+                         {"age-ms", milliseconds(end.age)}});
+}
+
 void logAttempt(const std::string &requestId,
                 const ServiceId &service,
                 const Attempt &attempt,
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -38,6 +38,9 @@
 /** Logs that an upstream wants no requests from this instance for that time. */
 void logRest(const std::string &requestId, const fleet::UpstreamEntry &upstream, Duration rest);
 
+/** Logs that an upstream that left is gone, or that its rest is over. */
+void logAnnouncementEnd(const fleet::AnnouncementEnd &end);
+
 /** Logs that a request probably crashed upstreams. crashes: of that request so far. source: who found it, "own" or an
  * instance. */
 void logCrash(std::uint64_t fingerprint, const std::vector<std::uint32_t> &upstreams, std::size_t crashes, const std::string &source);
--- a/test/correctness/announcedstate_test.cpp
+++ b/test/correctness/announcedstate_test.cpp
@@ -181,3 +181,30 @@
     CHECK_MESSAGE(choice.wait == Duration::max(), "the request would wait although it has tried all upstreams");
     CHECK(choice.retryAfter == seconds{2});
 }
+
+TEST_CASE("each announcement ends once, with its age")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{2}), false));
+    static_cast<void>(table.recordSignals(start + seconds{1}, UpstreamId{"a"}, 1, restSignal(seconds{3}), false));
+    static_cast<void>(table.recordSignals(start, UpstreamId{"b"}, 1, leavingSignal(), true));
+    CHECK(table.takeAnnouncementEnds(start + seconds{3}).empty());
+    const std::vector<AnnouncementEnd> rest = table.takeAnnouncementEnds(start + seconds{4});
+    CHECK(rest == std::vector<AnnouncementEnd>{{entryOf("a"), AnnouncementEnd::What::Rest, seconds{4}}});
+    table.setEntries(start + seconds{5}, {entryOf("a")});
+    const std::vector<AnnouncementEnd> left = table.takeAnnouncementEnds(start + seconds{5});
+    CHECK(left == std::vector<AnnouncementEnd>{{entryOf("b"), AnnouncementEnd::What::Leaving, seconds{5}}});
+    CHECK(table.takeAnnouncementEnds(start + seconds{6}).empty());
+}
+
+TEST_CASE("an upstream that cannot be reached is waited for although the others rest")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    static_cast<void>(table.recordSignals(start, UpstreamId{"a"}, 1, restSignal(seconds{4}), false));
+    table.endAttempt(start, UpstreamId{"b"}, 1, AttemptOutcome::Unreachable, {});
+    const UpstreamChoice choice = choose(start, table);
+    CHECK(choice.upstream == nullptr);
+    CHECK_MESSAGE(choice.wait < seconds{1}, "a request is refused although an upstream may be back before long");
+}
