--- a/bench/soak/announcementrules.h
+++ b/bench/soak/announcementrules.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,7 +23,11 @@
     std::size_t instance = 0;
     int life = 0;
 
-    auto operator<=>(const InstanceLife &) const = default;
+    bool operator==(const InstanceLife &) const = default;
+    bool operator<(const InstanceLife &other) const
+    {
+        return std::tie(instance, life) < std::tie(other.instance, other.life);
+    }
 };
 
 /** One process of an upstream. */
@@ -30,7 +35,11 @@
     std::string upstream;
     std::int64_t born = 0;
 
-    auto operator<=>(const UpstreamLife &) const = default;
+    bool operator==(const UpstreamLife &) const = default;
+    bool operator<(const UpstreamLife &other) const
+    {
+        return std::tie(upstream, born) < std::tie(other.upstream, other.born);
+    }
 };
 
 /** Requests sent later than this after an instance has passed on that an upstream leaves must not reach it. */
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -161,7 +161,7 @@
         return;
     }
     for (const std::string &broken : m_announcements.arrived(now, sender->sent, sender->life, {upstream.id, upstream.born})) {
-        m_ledger.violate(broken + " (" + id + ")");
+        m_ledger.violate(std::string(broken).append(", request ").append(id));
     }
 }
 
