--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -65,9 +65,10 @@
     return std::clamp((neededShare - comfortableTimeShare) / (1 - comfortableTimeShare), 0.0, 1.0);
 }
 
-double costOf(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, double medianLatencySeconds)
+double
+costOf(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, double medianLatencySeconds, double grayProbability)
 {
-    double cost = record.grayEstimate.probability(now) * (isRetryable(request) ? failureCostRetryable : failureCost);
+    double cost = grayProbability * (isRetryable(request) ? failureCostRetryable : failureCost);
     cost += missProbability(record, request, medianLatencySeconds) * failureCost;
     cost += loadCost(record);
     if (record.entry.dataCentre != request.dataCentre) {
@@ -144,9 +145,10 @@
             canHaveRoomSoon = true;
             continue;
         }
-        coverage.consider(now, *record, request, random);
+        const double grayProbability = record->grayEstimate.probability(now);
+        coverage.consider(now, *record, grayProbability, request, random);
         // The jitter keeps instances with the same data from choosing the same upstream at the same time.
-        const double cost = costOf(now, *record, request, medianLatencySeconds) + 0.1 * uniform(random);
+        const double cost = costOf(now, *record, request, medianLatencySeconds, grayProbability) + 0.1 * uniform(random);
         if (cost < best) {
             best = cost;
             choice.upstream = record;
@@ -159,7 +161,7 @@
     if (covered != nullptr) {
         choice.upstream = covered;
         choice.reason = ChoiceReason::Coverage;
-        choice.cost = costOf(now, *covered, request, medianLatencySeconds);
+        choice.cost = costOf(now, *covered, request, medianLatencySeconds, covered->grayEstimate.probability(now));
     }
     if (choice.upstream != nullptr) {
         choice.grayProbability = choice.upstream->grayEstimate.probability(now);
--- a/src/fleet/upstreamcoverage.cpp
+++ b/src/fleet/upstreamcoverage.cpp
@@ -33,16 +33,15 @@
 
 } // namespace
 
-void Coverage::consider(TimePoint now, UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random)
+void Coverage::consider(TimePoint now, UpstreamRecord &record, double grayProbability, const ChoiceRequest &request, RandomSource &random)
 {
     if (now < record.coldUntil) {
         return;
     }
     const Duration idle = now - record.lastUsed;
     m_idleTimes.push_back(idle);
-    const double probability = record.grayEstimate.probability(now);
     if (idle >= floorIdleTime) {
-        const double score = probability + probabilityJitter * uniform(random);
+        const double score = grayProbability + probabilityJitter * uniform(random);
         if (score < m_floorScore) {
             m_floorScore = score;
             m_floorCandidate = &record;
@@ -50,7 +49,7 @@
     }
     const double explored = isRetryable(request) ? exploredProbabilityRetryable : exploredProbability;
     const bool isNew = record.lastUsed == TimePoint{};
-    if (isNew || (idle >= coverageIdleTime && probability <= explored)) {
+    if (isNew || (idle >= coverageIdleTime && grayProbability <= explored)) {
         ++m_dueCount;
         const double idleSeconds = toSeconds(std::min(idle, maximumIdleTime)) + idleJitterSeconds * uniform(random);
         if (idleSeconds > m_dueIdleSeconds) {
--- a/src/fleet/upstreamcoverage.h
+++ b/src/fleet/upstreamcoverage.h
@@ -19,7 +19,7 @@
 {
 public:
     /** Considers an upstream to which the request may be sent. */
-    void consider(TimePoint now, UpstreamRecord &record, const ChoiceRequest &request, RandomSource &random);
+    void consider(TimePoint now, UpstreamRecord &record, double grayProbability, const ChoiceRequest &request, RandomSource &random);
 
     /** Returns the upstream that this request should cover, or nullptr. ready: number of usable upstreams. */
     UpstreamRecord *pick(const ChoiceRequest &request, int ready, RandomSource &random);
