Do not let a wrong number of the store's history stop an instance from reading

An answer is outdated only if its call began before the present history was learned of; the number in a notice tells that a restoration has happened, once, and decides nothing else.

--- a/src/fleet/storehistory.h
+++ b/src/fleet/storehistory.h
@@ -6,6 +6,8 @@
  */
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <optional>
 
@@ -22,24 +24,26 @@
     bool operator==(const StorePosition &) const = default;
 };
 
-/** How the history of an answer relates to the latest known one. */
-enum class HistoryRelation {
-    Same, ///< or not stated
-    Later, ///< the store has been restored
-    Earlier, ///< the answer was sent before the store was restored
-};
-
-/** The latest known history. */
+/** The history that the store is in, by its answers. A wrong number, from the store or from another instance, must not keep an
+ * instance from reading: an answer to a call that began after the present history was learned of is always believed. */
 class StoreHistory
 {
 public:
-    /** Takes note of the history that an answer of the store, or another instance, states. */
-    HistoryRelation observe(const std::optional<StoreHistoryNumber> &stated);
+    /** Takes note of the history that an answer of the store states, if any. begun: start of the call. Returns false if the
+     * answer was sent before the store was restored. */
+    bool observe(TimePoint now, TimePoint begun, const std::optional<StoreHistoryNumber> &stated);
+
+    /** Takes note of a history that the store or another instance states. Returns true if it tells for the first time that the
+     * store was restored. */
+    bool tellsRestoration(const std::optional<StoreHistoryNumber> &stated);
 
-    const std::optional<StoreHistoryNumber> &latest() const;
+    /** The present history, or nothing if the store has stated none. */
+    const std::optional<StoreHistoryNumber> &present() const;
 
 private:
-    std::optional<StoreHistoryNumber> m_latest;
+    std::optional<StoreHistoryNumber> m_present;
+    TimePoint m_learnedAt{};
+    std::optional<StoreHistoryNumber> m_highestTold;
 };
 
 /** Returns true if the records that were read from a position, up to the next one, follow what was read before it. */
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -57,7 +57,7 @@
     }
     m_configurationPending = true;
     m_configurationReadAt = now;
-    readConfiguration(m_configurationNext, configurationLongPoll);
+    readConfiguration(now, m_configurationNext, configurationLongPoll);
 }
 
 void StoreReplica::readUpstreams(TimePoint now, const fleet::StorePosition &from)
@@ -74,9 +74,9 @@
 
 void StoreReplica::onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update)
 {
-    const bool isCurrent = observeHistory(update.next.history, "store");
+    const bool isCurrent = observeHistory(beginTime, update.next.history);
     if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
-        readUpstreams(beginTime, {});
+        readUpstreams(net::now(), {});
         return;
     }
     m_upstreamsPending = false;
@@ -87,14 +87,14 @@
     onReadEnd(beginTime, isCurrent, &outdated);
 }
 
-void StoreReplica::readConfiguration(const fleet::StorePosition &from, Duration wait)
+void StoreReplica::readConfiguration(TimePoint now, const fleet::StorePosition &from, Duration wait)
 {
-    m_access.readConfiguration(from, wait, [this, from, generation = m_configurationReadGeneration](const auto &update) {
+    m_access.readConfiguration(from, wait, [this, now, from, generation = m_configurationReadGeneration](const auto &update) {
         if (generation != m_configurationReadGeneration) {
             return; // abandoned when the store failed
         }
         if (update.has_value()) {
-            onConfigurationRead(from, update.value());
+            onConfigurationRead(now, from, update.value());
             return;
         }
         m_configurationPending = false;
@@ -102,11 +102,11 @@
     });
 }
 
-void StoreReplica::onConfigurationRead(const fleet::StorePosition &from, const ConfigurationUpdate &update)
+void StoreReplica::onConfigurationRead(TimePoint beginTime, const fleet::StorePosition &from, const ConfigurationUpdate &update)
 {
-    const bool isCurrent = observeHistory(update.next.history, "store");
+    const bool isCurrent = observeHistory(beginTime, update.next.history);
     if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
-        readConfiguration({}, Duration::zero());
+        readConfiguration(net::now(), {}, Duration::zero());
         return;
     }
     m_configurationPending = false;
@@ -119,18 +119,22 @@
     }
 }
 
-/** Returns false if what is stated belongs to a history that has ended. source: "store", or an instance. */
-bool StoreReplica::observeHistory(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source)
+/** Returns false if the answer was sent before the store was restored. */
+bool StoreReplica::observeHistory(TimePoint beginTime, const std::optional<fleet::StoreHistoryNumber> &stated)
 {
-    const fleet::HistoryRelation relation = m_history.observe(stated);
-    if (relation == fleet::HistoryRelation::Later) {
+    noteRestoration(stated, "store");
+    return m_history.observe(net::now(), beginTime, stated);
+}
+
+void StoreReplica::noteRestoration(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source)
+{
+    if (m_history.tellsRestoration(stated)) {
         telemetry::writeLog(LogLevel::Warning,
                             "read store",
                             "the store was restored from a copy",
                             {{"history", std::to_string(*stated)}, {"source", source}});
         m_hooks.onRestored();
     }
-    return relation != fleet::HistoryRelation::Earlier;
 }
 
 void StoreReplica::onReadEnd(TimePoint beginTime, bool succeeded, const Error *error)
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -82,10 +82,11 @@
 
     void read(TimePoint now);
     void readUpstreams(TimePoint now, const fleet::StorePosition &from);
-    void readConfiguration(const fleet::StorePosition &from, Duration wait);
+    void readConfiguration(TimePoint now, const fleet::StorePosition &from, Duration wait);
     void onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update);
-    void onConfigurationRead(const fleet::StorePosition &from, const ConfigurationUpdate &update);
-    bool observeHistory(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source);
+    void onConfigurationRead(TimePoint beginTime, const fleet::StorePosition &from, const ConfigurationUpdate &update);
+    bool observeHistory(TimePoint beginTime, const std::optional<fleet::StoreHistoryNumber> &stated);
+    void noteRestoration(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source);
     bool applyAllUpstreams(const UpstreamUpdate &update);
     fleet::UpstreamDelta applyChangedUpstreams(const std::vector<UpstreamChange> &changes);
     void applyConfiguration(const std::string &text, const char *source);
--- a/src/proxy/storereplicapeers.cpp
+++ b/src/proxy/storereplicapeers.cpp
@@ -51,12 +51,12 @@
 
 fleet::StoreNotice StoreReplica::notice(TimePoint now) const
 {
-    return {m_table ? m_table->version() : 0, m_fingerprint, m_readSchedule.age(now), m_history.latest()};
+    return {m_table ? m_table->version() : 0, m_fingerprint, m_readSchedule.age(now), m_history.present()};
 }
 
 void StoreReplica::onNotice(TimePoint now, const fleet::StoreNotice &notice, const settings::Endpoint &stateAddress)
 {
-    observeHistory(notice.history, "instance");
+    noteRestoration(notice.history, "instance");
     const TimePoint asOf = now - notice.age;
     const bool newerConfiguration = notice.configurationVersion > (m_table ? m_table->version() : 0);
     const bool newerUpstreams = notice.catalogue != m_fingerprint && notice.age < m_readSchedule.age(now);
