Keep what an upstream announces while its entry is missing

The announcement is kept beside those of removed upstreams, with the same bounds, and holds when the entry is back. The new case of announcedstate_test failed before: the upstream was chosen, and no rest was known.

--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -94,8 +94,8 @@
     /** Records that an attempt is overdue, which counts as a failure. Must be called at most once per attempt. */
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
 
-    /** Records the signals of an answer. answered: the answer reports no failure; only such an answer ends a rate limit by not
-     * announcing it. Returns what has changed and the other instances should know. */
+    /** Records the signals of an answer, for a removed upstream in case its entry comes back. answered: the answer reports no failure; only
+     * such an answer ends a rate limit by not announcing it. Returns what has changed and the other instances should know. */
     std::optional<NoticeItem>
     recordSignals(TimePoint now, const UpstreamId &id, std::int64_t incarnation, const UpstreamSignals &signals, bool answered);
 
@@ -133,6 +133,8 @@
         std::vector<LoadItem> items;
     };
 
+    void limitRemoved(TimePoint now);
+    void rememberUnlisted(TimePoint now, const Identity &identity, const UpstreamSignals &signals);
     void rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present);
     void restoreAnnouncements(UpstreamRecord &record);
     std::optional<NoticeItem> recordRateLimit(TimePoint now, UpstreamRecord &record, const UpstreamSignals &signals, bool answered);
--- a/src/fleet/upstreamtableannouncements.cpp
+++ b/src/fleet/upstreamtableannouncements.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void UpstreamTable::rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present)
+void UpstreamTable::limitRemoved(TimePoint now)
 {
     std::erase_if(m_removed, [now](const auto &removed) {
         return now - removed.second.removedAt > announcementLifetime;
@@ -24,6 +24,28 @@
     if (m_removed.size() >= maximumRemoved) {
         m_removed.clear();
     }
+}
+
+/** An answer may arrive after the entry of its upstream has gone, and the entry may come back. */
+void UpstreamTable::rememberUnlisted(TimePoint now, const Identity &identity, const UpstreamSignals &signals)
+{
+    if (!signals.leaving && !signals.retryAfter) {
+        return;
+    }
+    limitRemoved(now);
+    RemovedUpstream &removed = m_removed[identity];
+    removed.removedAt = now;
+    if (signals.leaving) {
+        removed.announced.setLeaving(now);
+    }
+    if (signals.retryAfter) {
+        removed.announced.setRest(now, *signals.retryAfter);
+    }
+}
+
+void UpstreamTable::rememberAnnouncements(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &present)
+{
+    limitRemoved(now);
     for (const auto &[id, record] : m_records) {
         const auto found = present.find(id);
         const bool stays = found != present.end() && found->second.key == record.key;
@@ -50,6 +72,7 @@
 {
     UpstreamRecord *record = find(id, incarnation);
     if (record == nullptr) {
+        rememberUnlisted(now, {id, incarnation}, signals);
         return std::nullopt;
     }
     std::optional<NoticeItem> notice = recordRateLimit(now, *record, signals, answered);
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -9,7 +9,8 @@
     const AttemptResult &result = attempt.result();
     const fleet::UpstreamEntry &upstream = attempt.upstream();
     const fleet::UpstreamRecord *record = m_context.upstreams.find(upstream.id, upstream.incarnation);
-    const bool unchanged = record == nullptr || (result.signals == fleet::UpstreamSignals{} && !record->announced.rateLimit.active());
+    const bool hasRateLimit = record != nullptr && record->announced.rateLimit.active();
+    const bool unchanged = result.signals == fleet::UpstreamSignals{} && !hasRateLimit;
     if (unchanged || !isOwnAnswer(result.head, m_requestId, m_context.protocol.names)) {
         return;
     }
--- a/test/correctness/announcedstate_test.cpp
+++ b/test/correctness/announcedstate_test.cpp
@@ -208,3 +208,16 @@
     CHECK(choice.upstream == nullptr);
     CHECK_MESSAGE(choice.wait < seconds{1}, "a request is refused although an upstream may be back before long");
 }
+
+TEST_CASE("an announcement in an answer that arrives while the entry is missing holds when the entry is back")
+{
+    UpstreamTable table;
+    table.setEntries(start, {entryOf("a"), entryOf("b")});
+    table.setEntries(start + seconds{1}, {});
+    CHECK(!table.recordSignals(start + seconds{1}, UpstreamId{"a"}, 1, leavingSignal(), true).has_value());
+    CHECK(!table.recordSignals(start + seconds{1}, UpstreamId{"b"}, 1, restSignal(seconds{4}), false).has_value());
+    table.setEntries(start + seconds{2}, {entryOf("a"), entryOf("b")});
+    const UpstreamChoice choice = choose(start + seconds{2}, table);
+    CHECK_MESSAGE(choice.upstream == nullptr, "the announcement of an upstream without an entry was dropped");
+    CHECK(choice.retryAfter == seconds{3});
+}
