--- a/review/standins/lab.cpp
+++ b/review/standins/lab.cpp
@@ -282,33 +282,37 @@
     m_changed.notify_all();
 }
 
-void Store::setAway(bool away)
+void Store::setAway(bool isAway)
 {
     const std::lock_guard lock(m_mutex);
-    m_away = away;
-    m_changed.notify_all();
+    m_away = isAway;
+}
+
+bool Store::away()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_away;
 }
 
 void Store::serve(Connection &connection)
 {
     Message call;
     while (connection.read(call)) {
-        {
-            std::unique_lock lock(m_mutex);
-            if (m_away) {
-                // A connection on which an answer is lost returns nothing further.
-                m_changed.wait(lock, [this] {
-                    return !m_away;
-                });
-                return;
-            }
+        if (away()) {
+            break;
         }
         sleepFor(4);
         const auto [status, body] = answer(call);
+        if (away()) {
+            break;
+        }
         const std::string reason = status == 200 ? "OK" : status == 410 ? "Gone" : "Not Found";
         connection.write("HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\nStore-Era: 1\r\nContent-Length: "
                          + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
+    // A connection on which an answer is lost returns nothing further.
+    while (connection.read(call)) {
+    }
 }
 
 std::pair<int, std::string> Store::answer(const Message &call)
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -117,8 +117,9 @@
     /** Appends a record; an empty value removes the key. */
     void put(const std::string &topic, const std::string &key, const std::string &value);
 
-    /** While it is away, no call is answered. */
-    void setAway(bool away);
+    /** While it is away, no call is answered, and the connections of these calls stay silent for good. */
+    void setAway(bool isAway);
+    bool away();
 
 private:
     struct Entry {
--- a/review/standins/large_bodies.cpp
+++ b/review/standins/large_bodies.cpp
@@ -158,7 +158,7 @@
         }
     }
     sleepFor(2000);
-    shared.record.line(burst ? "two machines are ready; the burst comes with the second and third uploads"
+    shared.record.line(burst ? "two machines are ready; the burst comes with the third uploads"
                              : "two machines are ready; no burst (TROUBLE=0)");
     const double start = now() + 3000;
     const double until = start + waves * wavePeriodMilliseconds;
