--- a/review/standins/lab.cpp
+++ b/review/standins/lab.cpp
@@ -307,8 +307,8 @@
             break;
         }
         const std::string reason = status == 200 ? "OK" : status == 410 ? "Gone" : "Not Found";
-        connection.write("HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\nStore-Era: 1\r\nContent-Length: "
-                         + std::to_string(body.size()) + "\r\n\r\n" + body);
+        connection.write("HTTP/1.1 " + std::to_string(status) + " " + reason
+                         + "\r\nStore-Era: 1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
     // A connection on which an answer is lost returns nothing further.
     while (connection.read(call)) {
@@ -602,7 +602,8 @@
     return "127." + std::to_string(20 + getpid() % 200);
 }
 
-std::string request(const std::string &method, const std::string &path, const std::string &id, int deadlineMilliseconds, std::string_view body)
+std::string
+request(const std::string &method, const std::string &path, const std::string &id, int deadlineMilliseconds, std::string_view body)
 {
     std::string bytes = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Jackdawdoor-Request-Id: " + id
                         + "\r\nX-Jackdawdoor-Deadline-Ms: " + std::to_string(deadlineMilliseconds) + "\r\n";
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -222,6 +222,7 @@
 std::string ownNetwork();
 
 /** Bytes of a client's request. */
-std::string request(const std::string &method, const std::string &path, const std::string &id, int deadlineMilliseconds, std::string_view body);
+std::string
+request(const std::string &method, const std::string &path, const std::string &id, int deadlineMilliseconds, std::string_view body);
 
 } // namespace lab
--- a/review/standins/lapsed_entries.cpp
+++ b/review/standins/lapsed_entries.cpp
@@ -54,7 +54,8 @@
                     registered.lastBeat = now();
                     if (!registered.listed) {
                         registered.listed = true;
-                        store.put("keyed.servers", registered.server->id(),
+                        store.put("keyed.servers",
+                                  registered.server->id(),
                                   registered.server->entry("pedidos", "zone-a", registered.sequence, "ready"));
                         shared.record.line("the store accepts the entry of " + registered.server->id() + ", ready, seq-no "
                                            + std::to_string(registered.sequence));
@@ -94,7 +95,8 @@
             ++shared.after;
             shared.servedAfter += served ? 1 : 0;
         }
-        shared.record.line("order " + id + " to " + machine.ip() + ": " + (status == 0 ? std::string("no answer") : "answered " + std::to_string(status)));
+        shared.record.line("order " + id + " to " + machine.ip() + ": "
+                           + (status == 0 ? std::string("no answer") : "answered " + std::to_string(status)));
         sleepFor(100);
     }
 }
@@ -113,9 +115,10 @@
     std::vector<Registered> servers(serverCount);
     for (int index = 0; index < serverCount; ++index) {
         Registered &registered = servers[static_cast<std::size_t>(index)];
-        registered.server = std::make_unique<Server>("i-" + std::to_string(index), network + ".8.1", workMilliseconds, [&shared](const Message &call) {
-            shared.record.line("a server runs " + call.header("X-Jackdawdoor-Request-Id"));
-        });
+        registered.server =
+            std::make_unique<Server>("i-" + std::to_string(index), network + ".8.1", workMilliseconds, [&shared](const Message &call) {
+                shared.record.line("a server runs " + call.header("X-Jackdawdoor-Request-Id"));
+            });
         registered.nextBeat = now() + index * beatMilliseconds / serverCount;
     }
     std::thread beating([&] {
@@ -181,8 +184,8 @@
     const int before = shared.before;
     const int after = shared.after;
     shared.record.line("before the final fault " + std::to_string(shared.servedBefore.load()) + " of " + std::to_string(before)
-                       + " orders were served; of those sent later than 15 s after the machines were back " + std::to_string(shared.servedAfter.load())
-                       + " of " + std::to_string(after));
+                       + " orders were served; of those sent later than 15 s after the machines were back "
+                       + std::to_string(shared.servedAfter.load()) + " of " + std::to_string(after));
     if (!ready || before < 50 || after < 50 || shared.servedBefore * 4 < before) {
         return couldNotRun;
     }
--- a/review/standins/large_bodies.cpp
+++ b/review/standins/large_bodies.cpp
@@ -93,12 +93,15 @@
             sleepFor(2);
         }
         const std::string id = name + "-" + std::to_string(wave);
-        shared.record.line("upload " + id + " of " + std::to_string(uploadBytes) + " bytes sent to machine " + std::to_string(machineNumber));
+        shared.record.line("upload " + id + " of " + std::to_string(uploadBytes) + " bytes sent to machine "
+                           + std::to_string(machineNumber));
         Message answer;
         const auto connection = connectTo(machine.ip(), machine.front());
-        const bool answered = connection && connection->write(request("POST", "/subidas/factura", id, 10000, body)) && connection->read(answer, 10000);
-        shared.record.line("upload " + id + " to machine " + std::to_string(machineNumber) + ": "
-                           + (answered ? "answered " + std::to_string(answer.status()) : std::string("the connection ended without an answer")));
+        const bool answered =
+            connection && connection->write(request("POST", "/subidas/factura", id, 10000, body)) && connection->read(answer, 10000);
+        shared.record.line(
+            "upload " + id + " to machine " + std::to_string(machineNumber) + ": "
+            + (answered ? "answered " + std::to_string(answer.status()) : std::string("the connection ended without an answer")));
     }
 }
 
@@ -137,12 +140,13 @@
     std::vector<std::unique_ptr<Server>> servers;
     for (int index = 0; index < serverCount; ++index) {
         const std::string service = index % 2 == 0 ? "pedidos" : "subidas";
-        servers.push_back(std::make_unique<Server>("i-" + std::to_string(index), network + ".8.1", workMilliseconds, [&shared](const Message &call) {
-            const std::string id = call.header("X-Jackdawdoor-Request-Id");
-            shared.record.line("a server runs " + id);
-            const std::lock_guard lock(shared.mutex);
-            shared.ran.insert(id);
-        }));
+        servers.push_back(
+            std::make_unique<Server>("i-" + std::to_string(index), network + ".8.1", workMilliseconds, [&shared](const Message &call) {
+                const std::string id = call.header("X-Jackdawdoor-Request-Id");
+                shared.record.line("a server runs " + id);
+                const std::lock_guard lock(shared.mutex);
+                shared.ran.insert(id);
+            }));
         store.put("keyed.servers", servers.back()->id(), servers.back()->entry(service, "zone-a", 1, "ready"));
     }
     std::vector<std::unique_ptr<Machine>> machines;
@@ -204,10 +208,12 @@
         const auto at = static_cast<std::size_t>(index);
         isBroken = isBroken || lost[at] > bearableLosses;
         shared.record.line("machine " + std::to_string(index + 1) + ": at most " + std::to_string(static_cast<int>(most[at])) + " MB; "
-                           + std::to_string(lost[at]) + " orders on kept connections ran at a sound server and got no answer (LOST: more than "
+                           + std::to_string(lost[at])
+                           + " orders on kept connections ran at a sound server and got no answer (LOST: more than "
                            + std::to_string(bearableLosses) + ")");
     }
-    shared.record.line(std::to_string(shared.answered.load()) + " orders answered; processes ended for memory: " + std::to_string(shared.kills.load()));
+    shared.record.line(std::to_string(shared.answered.load())
+                       + " orders answered; processes ended for memory: " + std::to_string(shared.kills.load()));
     shared.record.line(isBroken ? "LOST is broken" : "LOST is kept");
     if (shared.answered < 50) {
         return couldNotRun;
