Reject messages whose header names are not tokens

Change: MessageParser fails after the head when a name is not a token: a request gets 400 and its connection ends, an answer counts as malformed. Before: the new case of proxy_test failed, all three requests were accepted or left waiting. After: it passes.

--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -40,11 +40,6 @@
     return alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
 }
 
-bool isName(std::string_view name)
-{
-    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
-}
-
 bool hasControlCharacter(std::string_view value)
 {
     return std::any_of(value.begin(), value.end(), [](char character) {
@@ -152,10 +147,15 @@
     return kept;
 }
 
+bool isHeaderName(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
 std::optional<std::string> framingFault(const Headers &headers)
 {
     for (const Header &header : headers) {
-        if (!isName(header.name) || hasControlCharacter(header.value)) {
+        if (!isHeaderName(header.name) || hasControlCharacter(header.value)) {
             return "a header name or value has a character that is not allowed";
         }
     }
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -62,6 +62,9 @@
 /** Reason why two parsers could disagree on where the request ends, which would allow request smuggling; or nothing. */
 std::optional<std::string> framingFault(const Headers &headers);
 
+/** True if the text is a header name that RFC 9110 allows; a space before the colon, for example, is not part of one. */
+bool isHeaderName(std::string_view text);
+
 /** Value of an unsigned decimal number, or nothing. */
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
--- a/src/proxy/messageparser.cpp
+++ b/src/proxy/messageparser.cpp
@@ -1,5 +1,6 @@
 #include "proxy/messageparser.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace jackdawdoor::proxy {
@@ -166,6 +167,14 @@
     if (parser->method != HTTP_CONNECT || self->m_kind == Kind::Answer) {
         parser->upgrade = 0;
     }
+    // http-parser ignores a space before the colon, so it takes "Transfer-Encoding : chunked" for framing, while a peer that
+    // does not would end the message elsewhere.
+    const bool validNames = std::all_of(head.headers.begin(), head.headers.end(), [](const net::Header &header) {
+        return net::isHeaderName(header.name);
+    });
+    if (!validNames) {
+        return -1;
+    }
     head.keepAlive = http_should_keep_alive(parser) != 0;
     head.http10 = parser->http_major == 1 && parser->http_minor == 0;
     self->m_hooks.onHead(std::move(head));
--- a/test/correctness/proxy_test.cpp
+++ b/test/correctness/proxy_test.cpp
@@ -442,6 +442,20 @@
     CHECK(upstream.requests().size() == 1);
 }
 
+// Guards against request smuggling: the parser took "Transfer-Encoding : chunked" for framing and forwarded it as a header.
+TEST_CASE("a request whose header name ends with a space is rejected and reaches no upstream")
+{
+    ScriptedUpstream upstream(healthy);
+    const InstanceFixture fixture({&upstream});
+    for (const char *fields : {"Transfer-Encoding : chunked\r\n", "Content-Length: 5\r\nTransfer-Encoding : chunked\r\n", "X-A : b\r\n"}) {
+        RawClient client(fixture.instance->callersPort());
+        client.send(std::string("POST /once/a HTTP/1.1\r\nHost: h.example\r\n") + fields + "\r\n0\r\n\r\n");
+        CHECK_MESSAGE(hasStatus(client.receiveAll(), 400), "the request was accepted with " << fields);
+        CHECK_MESSAGE(client.end() != RawClient::End::Open, "the connection stayed open");
+    }
+    CHECK(upstream.requests().empty());
+}
+
 TEST_CASE("an excessive deadline is ignored, and a request with an expired deadline is not forwarded")
 {
     ScriptedUpstream upstream(healthy);
