--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -22,6 +22,9 @@
 /** Subtracted from the upstream's Keep-Alive timeout, so that this side closes first. */
 constexpr Duration idleMargin = std::chrono::milliseconds{1500};
 
+/** Longer stated timeouts are shortened to a day, so that they can be added to a time point without overflow. */
+constexpr std::uint64_t maximumKeepAliveSeconds = 24ULL * 60 * 60;
+
 /** Timeout in a Keep-Alive header such as "timeout=5, max=100". */
 std::optional<Duration> keepAliveTimeout(const net::Headers &headers)
 {
@@ -30,7 +33,7 @@
     for (const std::string_view part : net::splitTrimmed(value, ',')) {
         if (part.substr(0, key.size()) == key) {
             if (const auto seconds = net::parseNumber(part.substr(key.size()))) {
-                return std::chrono::seconds{*seconds};
+                return std::chrono::seconds{std::min(*seconds, maximumKeepAliveSeconds)};
             }
         }
     }
--- a/test/error/outboundconnection_test.cpp
+++ b/test/error/outboundconnection_test.cpp
@@ -72,3 +72,37 @@
     CHECK_MESSAGE(probes >= 6, "a connection ends after " << probes << " lost probes");
     CHECK_MESSAGE(unacknowledged >= 6000, "a connection ends after " << unacknowledged << " ms without an acknowledgement");
 }
+
+// Guards against undefined behaviour: the stated seconds overflowed when they were converted.
+TEST_CASE("an excessive Keep-Alive timeout of an upstream is limited to a day")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        std::string answer = ScriptedUpstream::answerTo(request, 200, "x");
+        answer.insert(answer.find("\r\n") + 2, "Keep-Alive: timeout=99999999999999\r\n");
+        return ScriptedReply{answer, false, false, false, {}};
+    });
+    net::EventLoop loop;
+    std::unique_ptr<proxy::OutboundConnection> connection;
+    std::atomic<bool> complete{false};
+    Duration limit{};
+    loop.start();
+    loop.call([&] {
+        connection = std::make_unique<proxy::OutboundConnection>(
+            loop, settings::parseEndpoint(upstream.address()).value(), "X-Jackdawdoor-Request-Id");
+        proxy::OutboundConnectionHooks hooks;
+        hooks.onComplete = [&] {
+            complete = true;
+        };
+        connection->send("GET / HTTP/1.1\r\nX-Jackdawdoor-Request-Id: id\r\n\r\n", "id", false, std::move(hooks));
+    });
+    for (int count = 0; count < 200 && !complete; ++count) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    REQUIRE(complete.load());
+    loop.call([&] {
+        limit = connection->idleLimit();
+        connection.reset();
+    });
+    CHECK_MESSAGE((limit > std::chrono::hours{23} && limit <= std::chrono::hours{24}), "idle limit of " << toSeconds(limit) << " s");
+    loop.stop();
+}
