Take the requests into account that other instances place at the same time

The decision logs show up to 15 requests at one upstream with two slots while half of the 29 were idle: all instances prefer the same upstreams, know the others' load by reports every 250 ms, and the requests last 94 ms. Ruled out: connections alone (reused ones were late in 0.05, new ones in 0.12 of the cases when no other request was known at the upstream); the jitter of the cost, which is below the differences between upstreams; failures and gray upstreams, since answered first attempts were late. Change: placeConcurrently() assumes the unreported requests of the others, placed one by one at the lowest cost, and takes a random place among them. The load part of the cost also counts the latency objective.

--- a/bench/platform/servicemodel.cpp
+++ b/bench/platform/servicemodel.cpp
@@ -1,6 +1,7 @@
 #include "platform/servicemodel.h"
 
 #include "fakes/eventqueue.h"
+#include "fleet/concurrentplacement.h"
 #include "fleet/upstreamchoice.h"
 #include "fleet/upstreamtable.h"
 #include "limits/fleetretrybudget.h"
@@ -20,7 +21,7 @@
 using routing::AttemptEnd;
 
 constexpr Duration messageDelay = std::chrono::milliseconds{1};
-constexpr Duration reportPeriod = std::chrono::milliseconds{250};
+constexpr Duration reportPeriod = fleet::loadReportPeriod;
 constexpr Duration windowStep = std::chrono::milliseconds{500};
 constexpr Duration floorWindow = std::chrono::seconds{2};
 constexpr Duration killedTime = std::chrono::seconds{2};
@@ -30,6 +31,7 @@
 constexpr int queueLength = 24;
 /** Failures are fast, as on the users' bench (3 to 4 ms). */
 constexpr double failureSeconds = 0.004;
+constexpr double slowFactor = 7;
 const ServiceId service{"service"};
 
 double exponential(RandomSource &random, double mean)
@@ -164,12 +166,26 @@
         attempt(request);
     }
 
+    Duration objectiveLeft(TimePoint begun, TimePoint now) const
+    {
+        const Duration left = begun + fromSeconds(m_load.objectiveSeconds) - now;
+        return left > Duration::zero() ? left : Duration::max();
+    }
+
     void attempt(const RequestPointer &request)
     {
         Instance &instance = m_instances[request->instance];
         const TimePoint now = m_events.now();
-        const fleet::ChoiceRequest wanted{
-            service, m_load.repeatability, {}, request->tried, instance.budget.requestsPerSecond(now), floorShare + floorMargin};
+        const fleet::ChoiceRequest wanted{service,
+                                          m_load.repeatability,
+                                          {},
+                                          request->tried,
+                                          instance.budget.requestsPerSecond(now),
+                                          floorShare + floorMargin,
+                                          true,
+                                          request->begun + deadline - now,
+                                          0,
+                                          objectiveLeft(request->begun, now)};
         const fleet::UpstreamChoice choice = fleet::chooseUpstream(now, instance.board, wanted, m_random);
         if (choice.upstream == nullptr) {
             constexpr Duration maximumQueueTime = std::chrono::milliseconds{250};
@@ -218,7 +234,9 @@
         ++upstream.running;
         const TimePoint began = m_events.now();
         const bool fails = uniform(m_random) < (upstream.gray ? m_load.episodeFailures : m_load.healthyFailures);
-        const double length = fails ? failureSeconds : m_load.workSeconds * (0.7 + 0.6 * uniform(m_random));
+        const bool slow = uniform(m_random) < m_load.slowShare;
+        const double work = m_load.workSeconds * (slow ? slowFactor : 1);
+        const double length = fails ? failureSeconds : work * (0.7 + 0.6 * uniform(m_random));
         m_events.after(fromSeconds(length), [this, &upstream, request, covers, began, fails] {
             --upstream.running;
             m_figures.coverageFailed += fails && covers ? 1 : 0;
@@ -279,6 +297,7 @@
     {
         request.done = true;
         ++counter;
+        m_figures.late += served && m_events.now() - request.begun > fromSeconds(m_load.objectiveSeconds) ? 1 : 0;
         m_ends.push_back({m_events.now(), served});
     }
 
@@ -358,6 +377,7 @@
     served += other.served;
     failed += other.failed;
     refused += other.refused;
+    late += other.late;
     retries += other.retries;
     coverage += other.coverage;
     coverageFailed += other.coverageFailed;
--- a/bench/platform/servicemodel.h
+++ b/bench/platform/servicemodel.h
@@ -29,6 +29,8 @@
     double episodeShare = 0.3; ///< share of time an upstream spends in episodes
     double episodeFailures = 0.9; ///< share of requests that fail during an episode
     double healthyFailures = 0.012;
+    double objectiveSeconds = 2; ///< later answers count as late
+    double slowShare = 0; ///< share of the requests that last seven times as long
     Duration killEvery{}; ///< every second instance is killed and restarts after 2 s; zero: never
 };
 
@@ -38,6 +40,7 @@
     int served = 0;
     int failed = 0; ///< ended by a failure or by the end of the instance
     int refused = 0; ///< ended with "not run"
+    int late = 0; ///< served after the objective
     int retries = 0;
     int coverage = 0; ///< attempts sent to an upstream only to keep it in use
     int coverageFailed = 0;
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -1,11 +1,11 @@
 #include "fleet/upstreamchoice.h"
 
+#include "fleet/concurrentplacement.h"
 #include "fleet/unavailability.h"
 #include "fleet/upstreamcoverage.h"
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace jackdawdoor::fleet {
 
@@ -13,6 +13,8 @@
 
 /** Costs are in units of the typical latency of a request. A failure without a retry loses the request. */
 constexpr double failureCost = 12.0;
+/** An answer after the latency objective is worth little to a caller. */
+constexpr double lateCost = 0.7 * failureCost;
 /** A retryable request that fails only loses time. */
 constexpr double failureCostRetryable = 2.5;
 /** Traffic between data centres is charged by volume and takes half a millisecond longer. */
@@ -30,6 +32,15 @@
 constexpr double loadCostThreshold = 0.6;
 /** Upper bound of the cost of an upstream's excess latency. */
 constexpr double maximumLatencyCost = 6.0;
+/** Spreads the choices of instances with the same information over upstreams of about the same cost. */
+constexpr double costJitter = 0.1;
+
+/** An upstream that may be chosen, with the part of its cost that does not depend on its load. */
+struct Candidate {
+    UpstreamRecord *record = nullptr;
+    double cost = 0;
+};
+
 bool isLeaving(const UpstreamRecord &record)
 {
     return record.entry.status != UpstreamStatus::Ready || record.announced.leaving;
@@ -40,37 +51,45 @@
     return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) != request.excluded.end();
 }
 
-bool hasRoom(TimePoint now, const UpstreamRecord &record)
+bool hasRoom(TimePoint now, const UpstreamRecord &record, int inFlight)
 {
     const double limit = record.entry.slots * (1 + maximumQueuePerSlot);
-    return now >= record.fullUntil && record.inFlight() < limit;
+    return now >= record.fullUntil && inFlight < limit;
 }
 
-double loadCost(const UpstreamRecord &record)
+double loadCost(const UpstreamRecord &record, int inFlight)
 {
     const double slots = std::max(1, record.entry.slots);
-    const double load = (record.inFlight() + 1) / slots;
+    const double load = (inFlight + 1) / slots;
     if (load <= 1) {
         return std::max(0.0, load - loadCostThreshold);
     }
     return (1 - loadCostThreshold) + 2 * (load - 1);
 }
 
-/** Probability, by a rule of thumb, that the answer comes too late because of the requests queued ahead. */
-double missProbability(const UpstreamRecord &record, const ChoiceRequest &request, double medianLatencySeconds)
+/** Probability, by a rule of thumb, that the answer takes longer than the time left because of the requests queued ahead. */
+double missProbability(double neededSeconds, Duration timeLeft)
 {
-    const double slots = std::max(1, record.entry.slots);
-    const double rounds = std::max(1.0, (record.inFlight() + 1) / slots);
-    const double neededShare = rounds * medianLatencySeconds / toSeconds(std::max(request.timeLeft, Duration{1}));
+    const double neededShare = neededSeconds / toSeconds(std::max(timeLeft, Duration{1}));
     return std::clamp((neededShare - comfortableTimeShare) / (1 - comfortableTimeShare), 0.0, 1.0);
 }
 
+/** Part of the cost that depends on the load. */
+double costOfLoad(const UpstreamRecord &record, int inFlight, const ChoiceRequest &request, double medianLatencySeconds)
+{
+    const double slots = std::max(1, record.entry.slots);
+    const double rounds = std::max(1.0, (inFlight + 1) / slots);
+    const double neededSeconds = rounds * medianLatencySeconds;
+    const double missed = missProbability(neededSeconds, request.timeLeft);
+    const double late = (1 - missed) * missProbability(neededSeconds, request.objectiveLeft);
+    return missed * failureCost + late * lateCost + loadCost(record, inFlight);
+}
+
+/** Part of the cost that does not depend on the load. */
 double
-costOf(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, double medianLatencySeconds, double grayProbability)
+baseCost(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, double medianLatencySeconds, double grayProbability)
 {
     double cost = grayProbability * (isRetryable(request) ? failureCostRetryable : failureCost);
-    cost += missProbability(record, request, medianLatencySeconds) * failureCost;
-    cost += loadCost(record);
     if (record.entry.dataCentre != request.dataCentre) {
         constexpr double bytesPerMegabyte = 1e6;
         cost += crossDataCentreCost + crossDataCentreCostPerMegabyte * static_cast<double>(request.bodyBytes) / bytesPerMegabyte;
@@ -115,7 +134,7 @@
 UpstreamChoice chooseUpstream(TimePoint now, const UpstreamTable &table, const ChoiceRequest &request, RandomSource &random)
 {
     UpstreamChoice choice;
-    double best = std::numeric_limits<double>::max();
+    std::vector<Candidate> candidates;
     bool canHaveRoomSoon = false;
     const double admission = FleetRateLimit::admissionProbability(request.requestsPerSecond);
     const double medianLatencySeconds = table.medianLatencySeconds(request.service);
@@ -141,27 +160,36 @@
             continue;
         }
         const bool leftToOthers = record->announced.rateLimit.active() && uniform(random) >= admission;
-        if (!hasRoom(now, *record) || leftToOthers) {
+        if (!hasRoom(now, *record, record->inFlight()) || leftToOthers) {
             canHaveRoomSoon = true;
             continue;
         }
         const double grayProbability = record->grayEstimate.probability(now);
         coverage.consider(now, *record, grayProbability, request, random);
-        // The jitter keeps instances with the same data from choosing the same upstream at the same time.
-        const double cost = costOf(now, *record, request, medianLatencySeconds, grayProbability) + 0.1 * uniform(random);
-        if (cost < best) {
-            best = cost;
-            choice.upstream = record;
-            choice.reason = ChoiceReason::LeastCost;
-            choice.cost = cost;
+        const double cost = baseCost(now, *record, request, medianLatencySeconds, grayProbability) + costJitter * uniform(random);
+        candidates.push_back({record, cost});
+    }
+    const auto costWithLoad = [&](std::size_t index, int additional) -> std::optional<double> {
+        const auto &[record, cost] = candidates[index];
+        const int inFlight = record->inFlight() + additional;
+        if (!hasRoom(now, *record, inFlight)) {
+            return std::nullopt;
         }
+        return cost + costOfLoad(*record, inFlight, request, medianLatencySeconds);
+    };
+    const double unreported = unreportedRequests(request.requestsPerSecond, table.reportingInstances());
+    if (const auto placed = placeConcurrently(candidates.size(), unreported, costWithLoad, random)) {
+        choice.upstream = candidates[*placed].record;
+        choice.reason = ChoiceReason::LeastCost;
+        choice.cost = *costWithLoad(*placed, 0);
     }
     // Retries are not used for coverage, since a retry should not risk a second failure.
     UpstreamRecord *covered = request.excluded.empty() ? coverage.pick(request, choice.ready, random) : nullptr;
     if (covered != nullptr) {
         choice.upstream = covered;
         choice.reason = ChoiceReason::Coverage;
-        choice.cost = costOf(now, *covered, request, medianLatencySeconds, covered->grayEstimate.probability(now));
+        choice.cost = baseCost(now, *covered, request, medianLatencySeconds, covered->grayEstimate.probability(now))
+                      + costOfLoad(*covered, covered->inFlight(), request, medianLatencySeconds);
     }
     if (choice.upstream != nullptr) {
         choice.grayProbability = choice.upstream->grayEstimate.probability(now);
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -29,6 +29,7 @@
     bool retryAllowed = true; ///< the retry budget covers a retry if this attempt of an idempotent request fails
     Duration timeLeft = Duration::max(); ///< until the answer is needed
     std::size_t bodyBytes = 0; ///< of the request
+    Duration objectiveLeft = Duration::max(); ///< until the answer is late; the maximum without an objective, or once it is missed
 };
 
 /** True if a failed attempt can be followed by another one. */
--- a/src/fleet/upstreamcoverage.cpp
+++ b/src/fleet/upstreamcoverage.cpp
@@ -1,5 +1,7 @@
 #include "fleet/upstreamcoverage.h"
 
+#include "fleet/concurrentplacement.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,9 +17,6 @@
 constexpr Duration floorSpreadTime = std::chrono::milliseconds{250};
 /** From this idle time on, any request covers it. */
 constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1600};
-/** Interval of load reports. Instances learn of each other's choices only through them, so the fleet should send about one
- * request per interval to each upstream that is due. */
-constexpr Duration reportPeriod = std::chrono::milliseconds{250};
 /** Maximum share of requests used for coverage, unless the floor is at stake. */
 constexpr double maximumCoverageShare = 0.45;
 /** Upstreams with a higher probability of a gray failure are not due for requests. By the time the probability has decayed to
@@ -65,7 +64,9 @@
     if (m_floorCandidate != nullptr && uniform(random) < floorRequests) {
         return m_floorCandidate;
     }
-    const double requestsPerPeriod = request.requestsPerSecond * toSeconds(reportPeriod);
+    // Instances learn of each other's choices through load reports, so the fleet should send about one request per report period
+    // to each upstream that is due.
+    const double requestsPerPeriod = request.requestsPerSecond * toSeconds(loadReportPeriod);
     if (m_due != nullptr && uniform(random) < std::min(maximumCoverageShare, m_dueCount / std::max(1.0, requestsPerPeriod))) {
         return m_due;
     }
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -207,6 +207,11 @@
     }
 }
 
+std::size_t UpstreamTable::reportingInstances() const
+{
+    return m_peers.size();
+}
+
 LoadReport UpstreamTable::takeOwnReport()
 {
     LoadReport report;
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -115,6 +115,9 @@
     /** Removes the load of instances that have stopped reporting. */
     void expireReports(TimePoint now);
 
+    /** Returns the number of other instances whose load is known. */
+    std::size_t reportingInstances() const;
+
     /** Builds a report of the own load and of the attempts and successes since the last one, and resets their counters. Lists
      * only upstreams for which any of these is not zero. */
     LoadReport takeOwnReport();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -115,6 +115,13 @@
     tryAttempt(now);
 }
 
+/** Time until the answer is late; the maximum if it cannot be late, or is late already. */
+Duration Exchange::objectiveLeft(TimePoint now) const
+{
+    const Duration left = m_request.received + route().latencyObjective - now;
+    return route().latencyObjective > Duration::zero() && left > Duration::zero() ? left : Duration::max();
+}
+
 fleet::UpstreamChoice Exchange::choose(TimePoint now)
 {
     limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
@@ -126,7 +133,8 @@
                                              m_context.floorShare,
                                              budget.allows(now),
                                              m_deadline - now,
-                                             m_request.body.size()};
+                                             m_request.body.size(),
+                                             objectiveLeft(now)};
     return fleet::chooseUpstream(now, m_context.upstreams, choiceRequest, m_context.random);
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -40,6 +40,7 @@
     void endForStop();
 
 private:
+    Duration objectiveLeft(TimePoint now) const;
     fleet::UpstreamChoice choose(TimePoint now);
     void tryAttempt(TimePoint now);
     void retry(TimePoint now);
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -1,4 +1,5 @@
 // Gateway: messages between instances.
+#include "fleet/concurrentplacement.h"
 #include "proxy/gateway.h"
 #include "proxy/proxylog.h"
 #include "telemetry/log.h"
@@ -11,8 +12,6 @@
 
 namespace {
 
-/** Interval of load reports to the instances that serve requests. */
-constexpr Duration reportPeriod = std::chrono::milliseconds{250};
 /** Interval of load reports to all instances, which repairs lost messages and tells the instances without callers. It grows
  * with the number of instances, so that an instance sends a bounded number of these datagrams in a second. */
 constexpr Duration minimumBroadcastPeriod = std::chrono::milliseconds{1000};
@@ -37,7 +36,7 @@
 void Gateway::sendReports(TimePoint now)
 {
     if (now >= m_nextReport) {
-        m_nextReport = now + reportPeriod;
+        m_nextReport = now + fleet::loadReportPeriod;
         fleet::LoadReport report = m_context.upstreams.takeOwnReport();
         report.demand = m_context.takeDemand();
         report.serving = updateServing(report.demand);
@@ -63,7 +62,7 @@
 /** Adds the requests since the last report to the decaying count. Returns true while callers use this instance. */
 bool Gateway::updateServing(const std::vector<fleet::DemandItem> &demand)
 {
-    m_recentRequests *= 1 - toSeconds(reportPeriod) / toSeconds(recentRequestsWindow);
+    m_recentRequests *= 1 - toSeconds(fleet::loadReportPeriod) / toSeconds(recentRequestsWindow);
     for (const fleet::DemandItem &item : demand) {
         m_recentRequests += item.requests;
     }
