Decode organisations and authenticate requests by their API keys

Cause: the proxy knows no callers' organisations; a configuration with the field for them was accepted and the field ignored. The route table holds the organisations, and a rule may be public. A configuration with an unusable organisation is rejected whole. The error about a configuration that is not JSON no longer quotes the document, which could be an API key.

--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -1,9 +1,12 @@
 #include "platform/documents.h"
 
+#include "net/fleetauthentication.h"
 #include "proxy/usableentry.h"
+#include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace jackdawdoor::platform {
@@ -52,6 +55,7 @@
     route.latencyObjective = milliseconds(rule, "slo-latency-ms");
     route.maxAttempts = action.value("max-attempts", 1);
     route.priority = rule.value("priority", 0);
+    route.isPublic = rule.value("public", false);
     return route;
 }
 
@@ -73,6 +77,67 @@
     return limits;
 }
 
+/** True if the name can be the value of a header; a line break in it would let a configuration add headers to requests. */
+bool isHeaderValue(const std::string &name)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char letter) {
+        return letter >= firstPrintable && letter != deleteCharacter;
+    });
+}
+
+routing::Organisation decodeOrganisation(const json &in)
+{
+    routing::Organisation organisation;
+    organisation.name = routing::OrganisationId{in.at("name").get<std::string>()};
+    if (in.contains("priority")) {
+        organisation.priority = in.at("priority").get<int>();
+    }
+    organisation.requestsPerSecond = in.value("rate-per-s", 0.0);
+    organisation.burst = in.value("burst", 0.0);
+    return organisation;
+}
+
+Result<routing::OrganisationTable> decodeOrganisations(const json &document)
+{
+    if (!document.contains("tenants")) {
+        return routing::OrganisationTable{};
+    }
+    // The hash key is new for each version and never leaves the process.
+    routing::OrganisationTable::Builder builder([secret = net::randomNonce()](std::string_view apiKey) {
+        return net::hmacSha256(secret, apiKey);
+    });
+    for (const json &in : document.at("tenants").get_ref<const json::array_t &>()) {
+        routing::Organisation organisation = decodeOrganisation(in);
+        if (!isHeaderValue(organisation.name.value)) {
+            return Error{"decode configuration", "store", "the name of an organisation is empty or has control characters"};
+        }
+        if (organisation.requestsPerSecond < 0 || organisation.burst < 0) {
+            return Error{"decode configuration", "store", "the quota of organisation " + organisation.name.value + " is negative"};
+        }
+        builder.add(std::move(organisation), in.value("api-keys", std::vector<std::string>{}));
+    }
+    return builder.build();
+}
+
+void logSharedKeys(const routing::OrganisationTable &organisations)
+{
+    for (const routing::SharedApiKey &shared : organisations.sharedKeys()) {
+        telemetry::writeLog(telemetry::LogLevel::Warning,
+                            "decode configuration",
+                            "two organisations have the same API key",
+                            {{"accepted-for", shared.owner.value}, {"not-for", shared.other.value}});
+    }
+}
+
+/** Describes an error without the text of the document, since that may be an API key. */
+std::string describe(const json::exception &error)
+{
+    const auto *parseError = dynamic_cast<const json::parse_error *>(&error);
+    return parseError != nullptr ? "not valid JSON at byte " + std::to_string(parseError->byte) : error.what();
+}
+
 } // namespace
 
 Result<routing::RouteTablePointer> decodeConfiguration(std::string_view text)
@@ -93,10 +158,18 @@
         for (const json &cluster : document.at("clusters")) {
             services.push_back({ServiceId{cluster.at("name").get<std::string>()}, cluster.value("max-conns", 0)});
         }
-        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(
-            decodeVersion(document.at("version")), std::move(routes), std::move(services), decodeLimits(document)));
+        Result<routing::OrganisationTable> organisations = decodeOrganisations(document);
+        if (!organisations.has_value()) {
+            return organisations.error();
+        }
+        logSharedKeys(organisations.value());
+        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(decodeVersion(document.at("version")),
+                                                                                      std::move(routes),
+                                                                                      std::move(services),
+                                                                                      decodeLimits(document),
+                                                                                      std::move(organisations.value())));
     } catch (const json::exception &error) {
-        return Error{"decode configuration", "store", error.what()};
+        return Error{"decode configuration", "store", describe(error)};
     }
 }
 
--- a/src/routing/route.h
+++ b/src/routing/route.h
@@ -34,6 +34,7 @@
     Duration latencyObjective{}; ///< latency objective; answers within it earn full credit; zero if not set
     int maxAttempts = 1; ///< upstreams that may run one request
     int priority = 0; ///< 0 is the highest
+    bool isPublic = false; ///< its requests need no API key
 
     bool operator==(const Route &) const = default;
 };
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace jackdawdoor::routing {
 
@@ -18,9 +19,14 @@
 
 } // namespace
 
-RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceLimits> services, CallerLimits limits)
+RouteTable::RouteTable(std::uint64_t version,
+                       std::vector<Route> routes,
+                       std::vector<ServiceLimits> services,
+                       CallerLimits limits,
+                       OrganisationTable organisations)
     : m_version(version)
     , m_limits(limits)
+    , m_organisations(std::move(organisations))
 {
     for (Route &route : routes) {
         m_routesByHost[lowerHost(route.host)].push_back(std::move(route));
@@ -64,6 +70,11 @@
     return m_limits;
 }
 
+const OrganisationTable &RouteTable::organisations() const
+{
+    return m_organisations;
+}
+
 const std::map<std::string, std::vector<Route>, std::less<>> &RouteTable::routesByHost() const
 {
     return m_routesByHost;
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -1,6 +1,7 @@
 /** Lookup of routes in one version of the operator's configuration. */
 #pragma once
 
+#include "routing/organisation.h"
 #include "routing/route.h"
 
 #include <cstdint>
@@ -16,7 +17,11 @@
 class RouteTable
 {
 public:
-    RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceLimits> services, CallerLimits limits);
+    RouteTable(std::uint64_t version,
+               std::vector<Route> routes,
+               std::vector<ServiceLimits> services,
+               CallerLimits limits,
+               OrganisationTable organisations = {});
 
     std::uint64_t version() const;
 
@@ -28,6 +33,9 @@
 
     const CallerLimits &limits() const;
 
+    /** Organisations whose callers may send requests; disabled if the configuration has none. */
+    const OrganisationTable &organisations() const;
+
     /** Routes by host, longest prefix first. */
     const std::map<std::string, std::vector<Route>, std::less<>> &routesByHost() const;
 
@@ -36,6 +44,7 @@
     std::map<std::string, std::vector<Route>, std::less<>> m_routesByHost;
     std::map<ServiceId, ServiceLimits> m_services;
     CallerLimits m_limits;
+    OrganisationTable m_organisations;
 };
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
