Answer 401 without a valid API key and tell upstreams the organisation

Cause: with organisations in the configuration, every request was served, its API key and any organisation that the caller claimed went to the upstream. Change: Exchange authenticates a request once its route is known. A rejected one gets 401 with WWW-Authenticate and the request id, and the connection stays usable. Attempts withhold the Authorization headers and the caller's own organisation header, and name the organisation. Exchange keeps the organisation and the priority that it gives the request. Failures are counted by reason. The path of a public route with dot segments or escapes that a server may resolve to a path of another route needs the key which that route needs. Without organisations in the configuration nothing changes.

--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -36,7 +36,8 @@
             "X-Jackdawdoor-Response-Signature",
             // "Instance" in this header name means an upstream.
             "X-Jackdawdoor-Intended-Instance",
-            "X-Jackdawdoor-Not-Executed"};
+            "X-Jackdawdoor-Not-Executed",
+            "X-Jackdawdoor-Tenant"};
 }
 
 } // namespace jackdawdoor::platform::names
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -16,6 +16,19 @@
            || net::equalsIgnoreCase(header.name, "Keep-Alive");
 }
 
+/** An API key must not reach an upstream, nor an organisation that the caller claims to be. */
+bool isWithheld(const net::Header &header, const CallerIdentity &caller, const HeaderNames &names)
+{
+    return caller.checked
+           && (net::equalsIgnoreCase(header.name, "Authorization") || net::equalsIgnoreCase(header.name, names.organisation));
+}
+
+/** Header line with the caller's organisation, or nothing. */
+std::string organisationLine(const CallerIdentity &caller, const HeaderNames &names)
+{
+    return caller.organisation.empty() ? std::string{} : names.organisation + ": " + caller.organisation + "\r\n";
+}
+
 } // namespace
 
 std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
@@ -25,7 +38,7 @@
     out.reserve(request.body->size() + 1024);
     out += head.method + " " + head.target + " HTTP/1.1\r\n";
     for (const net::Header &header : net::withoutHopByHop(head.headers)) {
-        if (!isReplaced(header, names)) {
+        if (!isReplaced(header, names) && !isWithheld(header, request.caller, names)) {
             out += header.name;
             out += ": ";
             out += header.value;
@@ -35,6 +48,7 @@
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline).count();
     out += names.deadline + ": " + std::to_string(milliseconds) + "\r\n";
     out += names.intendedUpstream + ": " + upstream.id.value + "\r\n";
+    out += organisationLine(request.caller, names);
     if (head.contentLength.value_or(0) > 0 || head.chunked || head.method == "POST" || head.method == "PUT") {
         out += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
     }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -12,6 +12,14 @@
 
 namespace jackdawdoor::proxy {
 
+/** What an upstream is told about the caller. */
+struct CallerIdentity {
+    bool checked = false; ///< API keys are checked here, so the caller's own credentials and claims are not forwarded
+    std::string organisation; ///< empty if unknown
+
+    bool operator==(const CallerIdentity &) const = default;
+};
+
 /** The request to send; the pointers must stay valid during start(). */
 struct AttemptRequest {
     const MessageHead *head = nullptr;
@@ -19,6 +27,7 @@
     std::string requestId;
     Duration deadline{}; ///< remaining time, sent to the upstream
     Duration maximumIdle{}; ///< longest idle time of a pooled connection that may be used
+    CallerIdentity caller{};
 };
 
 /** Result of an attempt. body is the whole answer body, or empty if the body was streamed. */
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -88,11 +88,15 @@
     }
     const std::string &target = m_request.head.target;
     const std::string host = net::findHeader(m_request.head.headers, "Host");
-    m_route = m_table->match(host, std::string_view(target).substr(0, target.find('?')));
+    const std::string_view path = std::string_view(target).substr(0, target.find('?'));
+    m_route = m_table->match(host, path);
     if (m_route == nullptr) {
         fail(now, notFound, "no-route");
         return;
     }
+    if (!authenticate(now, host, path)) {
+        return;
+    }
     m_deadline = m_request.received + statedDeadline(m_request.head, m_context.protocol.names) - answerMargin;
     if (route().timeout > Duration::zero()) {
         m_deadline = std::min(m_deadline, m_request.received + route().timeout);
@@ -190,7 +194,7 @@
         forwardChunk(attempt, bytes);
     };
     m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.protocol, record.entry, std::move(hooks)));
-    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle()};
+    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle(), callerIdentity()};
     m_attempts.back()->start(now, request);
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jackdawdoor::proxy {
@@ -39,7 +40,15 @@
     /** Gives the final answer now, because the process stops. */
     void endForStop();
 
+    /** Organisation of the caller; nullptr if none is known. */
+    const routing::Organisation *organisation() const;
+
+    /** Priority of the request once it has a route: that of the organisation, or else that of the route. 0 is the highest. */
+    int priority() const;
+
 private:
+    bool authenticate(TimePoint now, std::string_view host, std::string_view path);
+    CallerIdentity callerIdentity() const;
     fleet::UpstreamChoice choose(TimePoint now);
     void tryAttempt(TimePoint now);
     void retry(TimePoint now);
@@ -71,6 +80,7 @@
     std::string m_requestId;
     routing::RouteTablePointer m_table; ///< owns the route
     const routing::Route *m_route = nullptr;
+    const routing::Organisation *m_organisation = nullptr; ///< owned by the table
     ServiceId m_service;
     TimePoint m_deadline{}; ///< latest time of the final answer
     TimePoint m_capacityDeadline{}; ///< refused at this time if no upstream has capacity
--- a/src/proxy/headernames.h
+++ b/src/proxy/headernames.h
@@ -12,6 +12,7 @@
     std::string signature; ///< present only in an upstream's own answers
     std::string intendedUpstream; ///< id of the only upstream that may run the request
     std::string notRun; ///< the upstream states that it did not run the request
+    std::string organisation; ///< name of the caller's organisation, for the upstream
 
     bool operator==(const HeaderNames &) const = default;
 };
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -23,6 +23,8 @@
 struct ProxyMetrics::Families {
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests = counter(registry, "jackdawdoor_requests_total", "Requests by outcome");
+    prometheus::Family<prometheus::Counter> &authenticationFailures =
+        counter(registry, "jackdawdoor_authentication_failures_total", "Requests without a valid API key by reason");
     prometheus::Family<prometheus::Counter> &attempts = counter(registry, "jackdawdoor_attempts_total", "Attempts by service and end");
     prometheus::Family<prometheus::Counter> &crashes =
         counter(registry, "jackdawdoor_upstream_crashes_total", "Crashes of upstreams by a request, by source of the finding");
@@ -58,6 +60,11 @@
     m_families->latency.Observe(toSeconds(took));
 }
 
+void ProxyMetrics::countAuthenticationFailure(std::string_view reason)
+{
+    m_families->authenticationFailures.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void ProxyMetrics::countAttempt(std::string_view service, std::string_view reason)
 {
     m_families->attempts.Add({{"service", std::string(service)}, {"end", std::string(reason)}}).Increment();
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -21,6 +21,9 @@
     /** Counts a final answer and its latency. outcome is the reason in the log line. */
     void countRequest(std::string_view outcome, Duration took);
 
+    /** Counts a request that was rejected for want of a valid API key. reason: see routing::rejectionName. */
+    void countAuthenticationFailure(std::string_view reason);
+
     /** Counts an ended attempt. */
     void countAttempt(std::string_view service, std::string_view reason);
 
--- a/src/routing/authentication.h
+++ b/src/routing/authentication.h
@@ -2,8 +2,9 @@
 #pragma once
 
 #include "routing/organisation.h"
-#include "routing/route.h"
+#include "routing/routetable.h"
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -40,7 +41,18 @@
 Authentication
 authenticate(const OrganisationTable &organisations, const Route &route, const std::vector<std::string_view> &authorizations);
 
+/** Returns the route that decides whether a request needs an API key. That is its own route, unless that one is public and an
+ * upstream that resolves dot segments and escapes in the path would serve a path of a route that is not. */
+const Route &authenticationRoute(const RouteTable &table, const Route &route, std::string_view host, std::string_view path);
+
 /** Priority of a request: that of its organisation, or else that of the route. organisation may be nullptr. */
 int effectivePriority(const Route &route, const Organisation *organisation);
 
+namespace detail {
+
+/** Path without escapes, repeated slashes, parameters of segments and dot segments, as the most lenient server reads it. */
+std::string resolvedPath(std::string_view path);
+
+} // namespace detail
+
 } // namespace jackdawdoor::routing
--- a/test/correctness/organisation_test.cpp
+++ b/test/correctness/organisation_test.cpp
@@ -228,3 +228,33 @@
     REQUIRE(!table.has_value());
     CHECK_MESSAGE(table.error().message().find("secretkey") == std::string::npos, table.error().message());
 }
+
+TEST_CASE("a public route does not open the paths of others to requests with dot segments or escapes in their paths")
+{
+    Route open;
+    open.host = "h.example";
+    open.pathPrefix = "/open/";
+    open.isPublic = true;
+    Route closed = open;
+    closed.pathPrefix = "/closed/";
+    closed.isPublic = false;
+    const RouteTable table(1, {open, closed}, {}, {});
+    const auto needsKey = [&table](std::string_view path) {
+        const Route *route = table.match("h.example", path);
+        REQUIRE(route != nullptr);
+        return !authenticationRoute(table, *route, "h.example", path).isPublic;
+    };
+    for (const char *path : {"/open/../closed/a",
+                             "/open/%2e%2E/closed/a",
+                             "/open/..%2fclosed/a",
+                             "/open/..\\closed/a",
+                             "/open/.//../closed/a",
+                             "/open/..;x/closed/a",
+                             "/open/x/../../closed/",
+                             "/closed/../open/a"}) {
+        CHECK_MESSAGE(needsKey(path), "needs no key: " << path);
+    }
+    for (const char *path : {"/open/", "/open/a", "/open/a/../b", "/open//a", "/open/%", "/open/%zz", "/open/a;b", "/open/../other/a"}) {
+        CHECK_MESSAGE(!needsKey(path), "needs a key: " << path);
+    }
+}
