Order catalogue changes by the position of their records in the store's log

Cause: a replica read the log again from the offset after its own last read, though other instances had told it of later records. Old removals removed newer entries and left tombstones with the number of the newest report, which then kept the upstreams' returns out. The replica shared these removals, so its whole data centre had no upstreams left.

Change: entries and tombstones carry the position (history and offset) of their record, and fleet::isNewer decides for reads, deltas, fetched states and tombstones alike. A removal of an unknown upstream leaves a tombstone, and a full state removes only what its position covers. An exported state says through which position it is complete, and the importer reads on from there. Messages without positions are ordered by report numbers, as before.

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -79,7 +79,11 @@
 {
     json tombstones = json::array();
     for (const UpstreamTombstone &upstream : delta.tombstones) {
-        tombstones.push_back(json::array({upstream.id.value, upstream.incarnation, upstream.sequence}));
+        json fields = json::array({upstream.id.value, upstream.incarnation, upstream.sequence});
+        if (upstream.position) {
+            fields.push_back(encodePosition(*upstream.position));
+        }
+        tombstones.push_back(std::move(fields));
     }
     return json::array({delta.entries, std::move(tombstones)});
 }
@@ -153,8 +157,11 @@
     UpstreamDelta delta;
     delta.entries = in.at(0).get<std::vector<UpstreamEntry>>();
     for (const json &upstream : in.at(1)) {
-        delta.tombstones.push_back(
-            {UpstreamId{upstream.at(0).get<std::string>()}, upstream.at(1).get<std::int64_t>(), upstream.at(2).get<std::int64_t>()});
+        constexpr std::size_t positionIndex = 3;
+        delta.tombstones.push_back({UpstreamId{upstream.at(0).get<std::string>()},
+                                    upstream.at(1).get<std::int64_t>(),
+                                    upstream.at(2).get<std::int64_t>(),
+                                    decodePosition(upstream, positionIndex)});
     }
     return delta;
 }
@@ -230,6 +237,27 @@
     return parts;
 }
 
+json encodePosition(const StorePosition &position)
+{
+    return json::array({position.history ? json(*position.history) : json(), position.offset});
+}
+
+std::optional<StorePosition> decodePosition(const json &in, std::size_t index)
+{
+    if (in.size() <= index) {
+        return std::nullopt;
+    }
+    const json &fields = in.at(index);
+    const json &history = fields.at(0);
+    StorePosition position;
+    // Throws if a number is negative or not an integer; get() would convert it.
+    if (!history.is_null()) {
+        position.history = history.get_ref<const json::number_unsigned_t &>();
+    }
+    position.offset = fields.at(1).get_ref<const json::number_unsigned_t &>();
+    return position;
+}
+
 void to_json(json &out, const UpstreamEntry &entry)
 {
     out = json::array({entry.id.value,
@@ -241,6 +269,9 @@
                        entry.slots,
                        static_cast<int>(entry.status),
                        entry.warmupLeft.count()});
+    if (entry.position) {
+        out.push_back(encodePosition(*entry.position));
+    }
 }
 
 void from_json(const json &in, UpstreamEntry &entry)
@@ -254,6 +285,8 @@
     entry.slots = in.at(6).get<int>();
     entry.status = in.at(7).get<int>() == 0 ? UpstreamStatus::Ready : UpstreamStatus::Draining;
     entry.warmupLeft = Duration{in.at(8).get<Duration::rep>()};
+    constexpr std::size_t positionIndex = 9;
+    entry.position = decodePosition(in, positionIndex);
 }
 
 std::string encodeDatagram(const FleetDatagram &datagram)
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -116,6 +116,13 @@
 /** Splits a delta into parts with at most that many entries and tombstones each. */
 std::vector<UpstreamDelta> splitDelta(const UpstreamDelta &delta, std::size_t maximumEntries);
 
+/** Encodes a position in the store's log as an element of a positional array. */
+nlohmann::json encodePosition(const StorePosition &position);
+
+/** Decodes the position at an index of a positional array. Nothing if the array ends before it, as in messages of instances of an
+ * earlier version. Throws nlohmann::json::exception on malformed input. */
+std::optional<StorePosition> decodePosition(const nlohmann::json &array, std::size_t index);
+
 /** Converts an upstream's entry to and from a positional array. from_json throws nlohmann::json::exception on malformed input. */
 void to_json(nlohmann::json &json, const UpstreamEntry &entry);
 void from_json(const nlohmann::json &json, UpstreamEntry &entry);
--- a/src/fleet/upstreamcatalogue.h
+++ b/src/fleet/upstreamcatalogue.h
@@ -1,12 +1,13 @@
 /** Catalogue of upstreams with their latest reports.
  *
- * Reports may arrive late, out of order or more than once. A report is applied only if it has a later incarnation than the
- * stored one, or the same incarnation and a higher sequence number. A removed upstream leaves a tombstone with its last
- * sequence number: an old report doesn't add the upstream again, but the next report does if the entry had only expired.
+ * Records of the store may arrive late, out of order or more than once, from the store or from other instances. A record is
+ * applied only if it is newer than what is known of its upstream (see fleet::isNewer). A removal leaves a tombstone with the
+ * position of its record, also if the upstream is unknown, so that an older record doesn't add the upstream again.
  */
 #pragma once
 
 #include "base/time.h"
+#include "fleet/catalogueorder.h"
 #include "fleet/upstreamentry.h"
 
 #include <cstdint>
@@ -24,11 +25,12 @@
     Removed,
 };
 
-/** A removed upstream with the incarnation and sequence number of its last report. */
+/** A removed upstream with the highest report number known before the removal, and the position of the removal. */
 struct UpstreamTombstone {
     UpstreamId id;
     std::int64_t incarnation = 0;
     std::int64_t sequence = 0;
+    std::optional<StorePosition> position = std::nullopt;
 
     bool operator==(const UpstreamTombstone &) const = default;
 };
@@ -40,41 +42,84 @@
     /** Applies a report, unless it is outdated. */
     CatalogueChange apply(const UpstreamEntry &entry);
 
-    /** Removes an upstream that has left or whose entry has expired. */
-    CatalogueChange remove(const UpstreamId &id);
+    /** Removes an upstream that has left or whose entry has expired. position: of the record, if it is known. */
+    CatalogueChange remove(const UpstreamId &id, const std::optional<StorePosition> &position = std::nullopt);
 
-    /** Applies a removal received from another instance. Does nothing if a later report is stored here. */
+    /** Applies a removal received from another instance. Does nothing if it is outdated. */
     CatalogueChange remove(const UpstreamTombstone &tombstone);
 
     /** Returns the tombstone of a removed upstream, or nullopt. */
     std::optional<UpstreamTombstone> tombstone(const UpstreamId &id) const;
 
-    /** Applies all entries and removes upstreams that are not listed. Returns true if anything changed. */
-    bool replace(const std::vector<UpstreamEntry> &entries);
+    /** Applies all entries of a full state, and removes the upstreams that are not listed. The state is complete through a
+     * position: what is known of later records stays. Entries of an earlier history of the store stay for a while, since the copy
+     * that it was restored from may lack them; an upstream that is alive writes its entry again. Returns true if anything
+     * changed. */
+    bool replace(const std::vector<UpstreamEntry> &entries, const std::optional<StorePosition> &through = std::nullopt);
 
-    /** Applies all entries of a store that was restored from a copy. Entries that are not listed stay for a while, since the copy
-     * may lack them; an upstream that is alive writes its entry again. Returns true if anything changed. */
-    bool restore(TimePoint now, const std::vector<UpstreamEntry> &entries);
+    /** Like replace(), for a state that is older than this catalogue: entries without a position stay, too. */
+    bool merge(const std::vector<UpstreamEntry> &entries, const StorePosition &through);
 
-    /** Removes the entries that have not been written again in time. Returns true if there were any. */
+    /** Like replace(), for a store that was restored from a copy: entries without a position stay for a while, too. */
+    bool restore(TimePoint now, const std::vector<UpstreamEntry> &entries, const std::optional<StorePosition> &through = std::nullopt);
+
+    /** Removes the entries of an earlier history that have not been written again in time. now: time as of which the catalogue is
+     * complete, so that none expire while the store cannot be read. Returns true if there were any. */
     bool expireUnconfirmed(TimePoint now);
 
+    /** Forgets all positions in histories after this one. Called when the store has stated a history that was wrong. */
+    void forgetHistoriesAfter(StoreHistoryNumber history);
+
     /** Returns all entries, sorted by id. */
     std::vector<UpstreamEntry> entries() const;
 
     const UpstreamEntry *find(const UpstreamId &id) const;
 
-    /** Returns a hash of the content without sequence numbers. Instances with the same content have the same fingerprint. */
+    /** Returns a hash of the content and the positions, without sequence numbers. Instances that know the same records have the
+     * same fingerprint. */
     std::uint64_t fingerprint() const;
 
+    /** Returns a number that grows with each record that is accepted, also if its content is known. */
+    std::uint64_t revision() const;
+
 private:
-    bool outdated(const UpstreamEntry &entry) const;
-    std::vector<UpstreamId> applyAll(const std::vector<UpstreamEntry> &entries, bool &changed);
+    /** What to do with a known entry that a full state doesn't list. */
+    enum class Unlisted {
+        Remove,
+        Keep,
+        Confirm, ///< keep for a while
+    };
+    /** An entry that a restored store lacks. */
+    struct Unconfirmed {
+        std::optional<TimePoint> until; ///< of its removal; nothing before the time is known
+        std::optional<StorePosition> through; ///< of the full state that lacks it
+    };
+    struct StoredTombstone {
+        UpstreamTombstone tombstone;
+        std::uint64_t age = 0; ///< key in m_tombstoneAges
+    };
+
+    std::optional<CatalogueState> known(const UpstreamId &id, const std::optional<CatalogueState> &absent) const;
+    std::optional<CatalogueState> absence() const;
+    CatalogueChange apply(const UpstreamEntry &entry, const std::optional<CatalogueState> &absent);
     void confirm(const UpstreamEntry &entry);
+    CatalogueChange bury(const UpstreamTombstone &tombstone);
+    void storeTombstone(const UpstreamTombstone &tombstone);
+    void dropTombstone(const UpstreamId &id);
+    CatalogueChange removeUnlisted(const UpstreamEntry &entry, const std::optional<StorePosition> &through);
+    static Unlisted handling(const UpstreamEntry &entry, const std::optional<StorePosition> &through, Unlisted withoutPosition);
+    bool applyAll(const std::vector<UpstreamEntry> &entries,
+                  const std::optional<StorePosition> &through,
+                  Unlisted withoutPosition,
+                  const std::optional<TimePoint> &confirmUntil);
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
-    std::map<UpstreamId, UpstreamTombstone> m_tombstones;
-    std::map<UpstreamId, TimePoint> m_unconfirmed; ///< missing in a restored store, with the time of their removal
+    std::map<UpstreamId, StoredTombstone> m_tombstones;
+    std::map<std::uint64_t, UpstreamId> m_tombstoneAges; ///< in the order in which they were stored
+    std::uint64_t m_nextTombstoneAge = 0;
+    std::map<UpstreamId, Unconfirmed> m_unconfirmed;
+    std::optional<StorePosition> m_complete; ///< of the latest full state
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace jackdawdoor::fleet
--- a/src/fleet/upstreamentry.h
+++ b/src/fleet/upstreamentry.h
@@ -3,8 +3,10 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "fleet/storehistory.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jackdawdoor::fleet {
@@ -26,15 +28,17 @@
     int slots = 1; ///< requests that it runs concurrently
     UpstreamStatus status = UpstreamStatus::Ready;
     Duration warmupLeft{}; ///< remaining warm-up time at the time of the report
+    std::optional<StorePosition> position = std::nullopt; ///< of its record; nothing if an instance of an earlier version told it
 
     bool operator==(const UpstreamEntry &) const = default;
 };
 
-/** Compares two entries without sequence number and remaining warm-up time. */
+/** Compares two entries without sequence number, remaining warm-up time and position. */
 inline bool sameContent(UpstreamEntry first, const UpstreamEntry &second)
 {
     first.sequence = second.sequence;
     first.warmupLeft = second.warmupLeft;
+    first.position = second.position;
     return first == second;
 }
 
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -27,21 +27,25 @@
 
 proxy::UpstreamChange decodeChange(const KeyedRecord &record, proxy::UpstreamUpdate &update)
 {
-    proxy::UpstreamChange change{UpstreamId{record.key}, true, {}};
+    proxy::UpstreamChange change{UpstreamId{record.key}, true, {}, std::nullopt};
+    if (record.offset) {
+        change.position = fleet::StorePosition{update.next.history, *record.offset};
+    }
     if (record.value.empty()) {
         return change;
     }
     if (auto entry = decodeUpstream(record.key, record.value)) {
         change.removed = false;
         change.entry = std::move(*entry);
+        change.entry.position = change.position;
     } else {
         ++update.unreadable;
     }
     return change;
 }
 
-/** Adds records to the update. An undecodable entry is skipped; it does not remove an upstream, since its key may belong to
- * another writer. */
+/** Adds records of the history of update.next to the update. An undecodable entry is skipped; it does not remove an upstream, since its key
+ * may belong to another writer. */
 void addChanges(const std::vector<KeyedRecord> &records, proxy::UpstreamUpdate &update)
 {
     for (const KeyedRecord &record : records) {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 struct KeyedRecord {
     std::string key;
     std::string value;
-    std::uint64_t offset = 0;
+    std::optional<std::uint64_t> offset = std::nullopt; ///< nothing if the store doesn't state it
 
     bool operator==(const KeyedRecord &) const = default;
 };
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -79,7 +79,9 @@
         for (const json &item : document.at("items")) {
             KeyedRecord record;
             record.key = item.at("key").get<std::string>();
-            record.offset = item.value("offset", std::uint64_t{0});
+            if (const auto offset = item.find("offset"); offset != item.end() && offset->is_number_unsigned()) {
+                record.offset = offset->get<std::uint64_t>();
+            }
             if (!absl::Base64Unescape(item.at("value").get<std::string>(), &record.value)) {
                 record.value = "?"; // not valid JSON: keeps the key, but decodes to no entry
             }
--- a/src/proxy/storeaccess.h
+++ b/src/proxy/storeaccess.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,10 +31,12 @@
 struct UpstreamChange {
     UpstreamId id;
     bool removed = false;
-    fleet::UpstreamEntry entry; ///< unless removed
+    fleet::UpstreamEntry entry; ///< unless removed; with the position of the record
+    std::optional<fleet::StorePosition> position = std::nullopt; ///< of the record
 };
 
-/** Changes of upstreams in log order. complete: they are a full snapshot, which replaces the earlier state. */
+/** Changes of upstreams in log order. complete: they are the full state; it holds all records before next, and may hold later
+ * ones. */
 struct UpstreamUpdate {
     std::vector<UpstreamChange> changes;
     fleet::StorePosition next;
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jackdawdoor::proxy {
 
@@ -38,9 +39,9 @@
 
 void StoreReplica::tick(TimePoint now, const membership::MembershipView &view)
 {
-    if (m_catalogue.expireUnconfirmed(now)) {
-        publishCatalogue();
-    }
+    // While the store is away, upstreams cannot confirm their entries.
+    const TimePoint asOf = now - m_readSchedule.age(now);
+    publishCatalogue(asOf != TimePoint{} && m_catalogue.expireUnconfirmed(asOf));
     if (m_readSchedule.shouldRead(now, view) && now >= m_retryAt && !m_upstreamsPending) {
         read(now);
     }
@@ -123,7 +124,12 @@
 bool StoreReplica::observeHistory(TimePoint beginTime, const std::optional<fleet::StoreHistoryNumber> &stated)
 {
     noteRestoration(stated, "store");
-    return m_history.observe(net::now(), beginTime, stated);
+    const auto before = m_history.present();
+    const bool isCurrent = m_history.observe(net::now(), beginTime, stated);
+    if (isCurrent && stated && before && *stated < *before) {
+        m_catalogue.forgetHistoriesAfter(*stated);
+    }
+    return isCurrent;
 }
 
 void StoreReplica::noteRestoration(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source)
@@ -186,18 +192,17 @@
                             "ignoring entries that cannot be decoded",
                             {{"entries", std::to_string(update.unreadable)}});
     }
-    bool changed = false;
-    fleet::UpstreamDelta delta;
     if (update.complete) {
-        changed = applyAllUpstreams(update);
-    } else {
-        delta = applyChangedUpstreams(update.changes);
-        changed = !delta.entries.empty() || !delta.tombstones.empty();
-    }
-    m_upstreamsNext = update.next;
-    if (changed) {
-        publishCatalogue();
+        const bool changed = applyAllUpstreams(update);
+        m_upstreamsNext = update.next;
+        publishCatalogue(changed);
+        return;
     }
+    bool changed = false;
+    const fleet::UpstreamDelta delta = applyChangedUpstreams(update.changes, changed);
+    // Another instance's state may have told of later records meanwhile.
+    m_upstreamsNext = fleet::continues(m_upstreamsNext, update.next) ? fleet::advancedTo(m_upstreamsNext, update.next) : update.next;
+    publishCatalogue(changed);
     if (!delta.entries.empty() || !delta.tombstones.empty()) {
         m_hooks.onDelta(delta);
     }
@@ -218,41 +223,48 @@
                         {{"from", std::to_string(m_upstreamsNext.offset)},
                          {"next", std::to_string(update.next.offset)},
                          {"entries", std::to_string(entries.size())}});
-    return restored ? m_catalogue.restore(net::now(), entries) : m_catalogue.replace(entries);
+    return restored ? m_catalogue.restore(net::now(), entries, update.next) : m_catalogue.replace(entries, update.next);
 }
 
-/** Returns the changes that were not known. */
-fleet::UpstreamDelta StoreReplica::applyChangedUpstreams(const std::vector<UpstreamChange> &changes)
+/** Returns what is now known of the upstreams whose records were not known. changed: set if the contents of any have changed. */
+fleet::UpstreamDelta StoreReplica::applyChangedUpstreams(const std::vector<UpstreamChange> &changes, bool &changed)
 {
-    fleet::UpstreamDelta delta;
+    std::set<UpstreamId> renewed;
     for (const UpstreamChange &change : changes) {
-        const auto effect = change.removed ? m_catalogue.remove(change.id) : m_catalogue.apply(change.entry);
-        if (effect == fleet::CatalogueChange::Nothing) {
-            continue;
+        const std::uint64_t revision = m_catalogue.revision();
+        const auto effect = change.removed ? m_catalogue.remove(change.id, change.position) : m_catalogue.apply(change.entry);
+        changed = changed || effect != fleet::CatalogueChange::Nothing;
+        if (m_catalogue.revision() != revision) {
+            renewed.insert(change.id);
         }
-        if (change.removed) {
-            delta.tombstones.push_back(*m_catalogue.tombstone(change.id));
-        } else {
-            delta.entries.push_back(change.entry);
+    }
+    fleet::UpstreamDelta delta;
+    for (const UpstreamId &id : renewed) {
+        if (const fleet::UpstreamEntry *entry = m_catalogue.find(id)) {
+            delta.entries.push_back(*entry);
+        } else if (const auto tombstone = m_catalogue.tombstone(id)) {
+            delta.tombstones.push_back(*tombstone);
         }
     }
     return delta;
 }
 
-void StoreReplica::publishCatalogue()
+/** Takes note of a change of the catalogue. changed: also of its contents, not only of their positions in the store. */
+void StoreReplica::publishCatalogue(bool changed)
 {
-    const std::uint64_t fingerprint = m_catalogue.fingerprint();
-    if (fingerprint != m_fingerprint) {
-        int ready = 0;
-        for (const fleet::UpstreamEntry &entry : m_catalogue.entries()) {
-            ready += entry.status == fleet::UpstreamStatus::Ready ? 1 : 0;
-        }
-        telemetry::writeLog(LogLevel::Info,
-                            "apply upstreams",
-                            "changed",
-                            {{"ready", std::to_string(ready)}, {"known", std::to_string(m_catalogue.entries().size())}});
+    if (m_catalogue.revision() != m_publishedRevision) {
+        m_publishedRevision = m_catalogue.revision();
+        m_fingerprint = m_catalogue.fingerprint();
     }
-    m_fingerprint = fingerprint;
+    if (!changed) {
+        return;
+    }
+    const std::vector<fleet::UpstreamEntry> entries = m_catalogue.entries();
+    const auto ready = std::count_if(entries.begin(), entries.end(), [](const fleet::UpstreamEntry &entry) {
+        return entry.status == fleet::UpstreamStatus::Ready;
+    });
+    telemetry::writeLog(
+        LogLevel::Info, "apply upstreams", "changed", {{"ready", std::to_string(ready)}, {"known", std::to_string(entries.size())}});
     m_hooks.onUpstreams();
 }
 
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -58,6 +58,9 @@
     /** Compressed state that a peer with this configuration version and catalogue fingerprint lacks. */
     std::string exportState(std::uint64_t configurationVersion, std::uint64_t catalogue, TimePoint now);
 
+    /** Applies a state that another instance exported. */
+    void importState(std::string_view compressed, TimePoint requestedAt);
+
     /** Age of the replica. */
     Duration age(TimePoint now) const;
 
@@ -88,13 +91,13 @@
     bool observeHistory(TimePoint beginTime, const std::optional<fleet::StoreHistoryNumber> &stated);
     void noteRestoration(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source);
     bool applyAllUpstreams(const UpstreamUpdate &update);
-    fleet::UpstreamDelta applyChangedUpstreams(const std::vector<UpstreamChange> &changes);
+    fleet::UpstreamDelta applyChangedUpstreams(const std::vector<UpstreamChange> &changes, bool &changed);
     void applyConfiguration(const std::string &text, const char *source);
     void applyUpstreams(const UpstreamUpdate &update);
     void onReadEnd(TimePoint beginTime, bool succeeded, const Error *error);
     void fetchState(const settings::Endpoint &from);
-    void importState(std::string_view compressed, TimePoint requestedAt);
-    void publishCatalogue();
+    bool importUpstreams(const nlohmann::json &state, bool isCurrent);
+    void publishCatalogue(bool changed);
 
     net::EventLoop &m_loop;
     StoreAccess m_access;
@@ -104,9 +107,10 @@
     std::string m_configurationText;
     fleet::UpstreamCatalogue m_catalogue;
     std::uint64_t m_fingerprint = 0;
+    std::uint64_t m_publishedRevision = 0; ///< of the catalogue, to which the fingerprint belongs
     fleet::StoreHistory m_history;
     fleet::StorePosition m_configurationNext;
-    fleet::StorePosition m_upstreamsNext;
+    fleet::StorePosition m_upstreamsNext; ///< the catalogue holds all records before it
     bool m_configurationPending = false;
     std::uint64_t m_configurationReadGeneration = 0; ///< changes when a pending read is abandoned
     bool m_upstreamsPending = false;
--- a/src/proxy/storereplicapeers.cpp
+++ b/src/proxy/storereplicapeers.cpp
@@ -44,9 +44,7 @@
     for (const fleet::UpstreamTombstone &departed : delta.tombstones) {
         changed = m_catalogue.remove(departed) != fleet::CatalogueChange::Nothing || changed;
     }
-    if (changed) {
-        publishCatalogue();
-    }
+    publishCatalogue(changed);
 }
 
 fleet::StoreNotice StoreReplica::notice(TimePoint now) const
@@ -96,8 +94,10 @@
     // Cached, since all instances of a data centre fetch the same change at the same time.
     const StateKey key{newer ? m_table->version() : 0, other ? m_fingerprint : 0};
     if (m_exported.bytes.empty() || m_exported.key != key || now - m_exported.at > exportLifetime) {
-        const json state = json::array(
-            {m_readSchedule.age(now).count(), newer ? json(m_configurationText) : json(), other ? json(m_catalogue.entries()) : json()});
+        const json state = json::array({m_readSchedule.age(now).count(),
+                                        newer ? json(m_configurationText) : json(),
+                                        other ? json(m_catalogue.entries()) : json(),
+                                        fleet::encodePosition(m_upstreamsNext)});
         std::string bytes;
         json::to_cbor(state, bytes);
         m_exported = {key, now, compress(bytes)};
@@ -118,23 +118,39 @@
         if (state.at(1).is_string()) {
             applyConfiguration(state.at(1).get<std::string>(), "instance");
         }
-        // A state older than the local replica must not undo changes that are already applied.
-        if (age >= m_readSchedule.age(requestedAt)) {
+        const bool isCurrent = age < m_readSchedule.age(requestedAt);
+        if (state.at(2).is_array() && !importUpstreams(state, isCurrent)) {
             return;
         }
-        if (state.at(2).is_array()) {
-            std::vector<fleet::UpstreamEntry> entries;
-            for (const json &entry : state.at(2)) {
-                entries.push_back(entry.get<fleet::UpstreamEntry>());
-            }
-            if (m_catalogue.replace(usableEntries(std::move(entries)))) {
-                publishCatalogue();
-            }
+        if (isCurrent) {
+            m_readSchedule.advanceAsOf(requestedAt - age);
         }
-        m_readSchedule.advanceAsOf(requestedAt - age);
     } catch (const json::exception &error) {
         telemetry::writeLog(LogLevel::Warning, "fetch state", error.what());
     }
 }
 
+/** Returns false if the state cannot be compared with the catalogue. */
+bool StoreReplica::importUpstreams(const json &state, bool isCurrent)
+{
+    constexpr std::size_t throughIndex = 3; // not sent by instances of an earlier version
+    const auto through = fleet::decodePosition(state, throughIndex);
+    std::vector<fleet::UpstreamEntry> entries;
+    for (const json &entry : state.at(2)) {
+        entries.push_back(entry.get<fleet::UpstreamEntry>());
+    }
+    // Without positions, an older state could undo changes that are already applied.
+    if (!through && !isCurrent) {
+        return false;
+    }
+    entries = usableEntries(std::move(entries));
+    // The state of an instance that has read nothing yet, or an empty store, says of no entry that it is gone.
+    const bool lists = isCurrent && (!through || through->offset != 0);
+    publishCatalogue(lists ? m_catalogue.replace(entries, through) : m_catalogue.merge(entries, *through));
+    if (through) {
+        m_upstreamsNext = fleet::advancedTo(m_upstreamsNext, *through);
+    }
+    return true;
+}
+
 } // namespace jackdawdoor::proxy
