Hold the body of a message once and send it by reference

A request body existed three times: in the caller's request, in the bytes for the upstream, and in the connection's copy or output buffer. An idle connection kept the capacity of its copy, and growing strings needed twice their size for a moment, so five uploads of 20 MB exceeded 260 MB.

Bodies are now lists of blocks that the request and all its attempts share and that libevent sends by reference. A body is released when its request ends or its answer is being streamed. Buffered answers use the same type.

--- a/src/fleet/requestfingerprint.cpp
+++ b/src/fleet/requestfingerprint.cpp
@@ -1,5 +1,6 @@
 #include "fleet/requestfingerprint.h"
 
+#include "base/blockhash.h"
 #include "base/stablehash.h"
 
 namespace jackdawdoor::fleet {
@@ -15,4 +16,11 @@
     return {stableHash(target, rest), stableHash(target.substr(0, target.find('?')), rest)};
 }
 
+RequestFingerprint
+fingerprintOf(std::string_view host, std::string_view method, std::string_view target, const std::vector<std::string_view> &bodyBlocks)
+{
+    const std::uint64_t rest = stableHashOfBlocks(bodyBlocks, stableHash(method, stableHash(host)));
+    return {stableHash(target, rest), stableHash(target.substr(0, target.find('?')), rest)};
+}
+
 } // namespace jackdawdoor::fleet
--- a/src/fleet/requestfingerprint.h
+++ b/src/fleet/requestfingerprint.h
@@ -22,4 +22,8 @@
 /** Returns the fingerprint of a request. target: path and query. */
 RequestFingerprint fingerprintOf(std::string_view host, std::string_view method, std::string_view target, std::string_view body);
 
+/** The same for a body that is held in several blocks. */
+RequestFingerprint
+fingerprintOf(std::string_view host, std::string_view method, std::string_view target, const std::vector<std::string_view> &bodyBlocks);
+
 } // namespace jackdawdoor::fleet
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
+std::string upstreamRequestHead(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
 {
     const MessageHead &head = *request.head;
     std::string out;
-    out.reserve(request.body->size() + 1024);
+    out.reserve(1024);
     out += head.method + " " + head.target + " HTTP/1.1\r\n";
     for (const net::Header &header : net::withoutHopByHop(head.headers)) {
         if (!isReplaced(header, names)) {
@@ -39,7 +39,6 @@
         out += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
     }
     out += "\r\n";
-    out += *request.body;
     return out;
 }
 
@@ -71,8 +70,11 @@
     hooks.onFailure = [this](ConnectionFailure failure) {
         onFailure(failure);
     };
-    m_connection->send(
-        upstreamRequest(request, m_upstream, m_protocol.names), m_requestId, request.head->method == "HEAD", std::move(hooks));
+    m_connection->send(upstreamRequestHead(request, m_upstream, m_protocol.names),
+                       m_requestId,
+                       request.head->method == "HEAD",
+                       std::move(hooks),
+                       *request.body);
 }
 
 void Attempt::onHead(const MessageHead &head)
@@ -102,7 +104,7 @@
         m_rejected = true;
         m_connection->rejectAnswer();
     }
-    m_result.body.clear();
+    m_result.body = Body();
 }
 
 void Attempt::onComplete()
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -15,7 +15,7 @@
 /** The request to send; the pointers must stay valid during start(). */
 struct AttemptRequest {
     const MessageHead *head = nullptr;
-    const std::string *body = nullptr;
+    const Body *body = nullptr;
     std::string requestId;
     Duration deadline{}; ///< remaining time, sent to the upstream
     Duration maximumIdle{}; ///< longest idle time of a pooled connection that may be used
@@ -26,7 +26,7 @@
     AnswerClassification classification;
     MessageHead head;
     fleet::UpstreamSignals signals; ///< of the sender of the head, which may not be the upstream, see isOwnAnswer
-    std::string body;
+    Body body;
     Duration took{};
     bool newConnection = false;
     bool connectionLost = false; ///< the upstream closed or reset the connection before the end of the answer
@@ -86,7 +86,7 @@
     bool m_overdue = false;
 };
 
-/** Serialises a request for an upstream. */
-std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names);
+/** Serialises the head of a request for an upstream. */
+std::string upstreamRequestHead(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names);
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -140,7 +140,9 @@
     m_request.head = std::move(head);
     m_timer.set(bodyTimeout);
     m_headTooLarge = headSize(m_request.head) > m_limits.maximumHeaderBytes;
-    m_tooLarge = m_request.head.contentLength.value_or(0) > m_limits.maximumBodyBytes;
+    const std::uint64_t announced = m_request.head.contentLength.value_or(0);
+    m_tooLarge = announced > m_limits.maximumBodyBytes;
+    m_request.body.expect(m_tooLarge ? 0 : static_cast<std::size_t>(announced));
     if (!net::findHeader(m_request.head.headers, "Expect").empty()) {
         constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
         bufferevent_write(m_socket, continueAnswer.data(), continueAnswer.size());
@@ -186,13 +188,7 @@
     if (!m_busy || m_ended) {
         return;
     }
-    std::string out;
-    out.reserve(body.size() + 512);
-    appendHead(out, status, headers);
-    if (hasBody(status)) {
-        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    }
-    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    std::string out = replyHead(status, headers, body.size());
     if (!m_noBody && hasBody(status)) {
         out += body;
     }
@@ -200,6 +196,31 @@
     answerEnded();
 }
 
+void CallerConnection::reply(int status, const net::Headers &headers, const Body &body)
+{
+    if (!m_busy || m_ended) {
+        return;
+    }
+    const std::string out = replyHead(status, headers, body.size());
+    bufferevent_write(m_socket, out.data(), out.size());
+    if (!m_noBody && hasBody(status)) {
+        body.writeTo(bufferevent_get_output(m_socket));
+    }
+    answerEnded();
+}
+
+std::string CallerConnection::replyHead(int status, const net::Headers &headers, std::size_t length) const
+{
+    std::string out;
+    out.reserve(512);
+    appendHead(out, status, headers);
+    if (hasBody(status)) {
+        out += "Content-Length: " + std::to_string(length) + "\r\n";
+    }
+    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    return out;
+}
+
 void CallerConnection::start(int status, const net::Headers &headers, std::optional<std::uint64_t> length)
 {
     std::string out;
@@ -230,6 +251,22 @@
     }
 }
 
+void CallerConnection::sendBody(const Body &body)
+{
+    if (m_ended || m_noBody || body.empty()) {
+        return;
+    }
+    evbuffer *output = bufferevent_get_output(m_socket);
+    if (m_chunked) {
+        const std::string head = chunkHead(body.size());
+        evbuffer_add(output, head.data(), head.size());
+    }
+    body.writeTo(output);
+    if (m_chunked) {
+        evbuffer_add(output, "\r\n", 2);
+    }
+}
+
 void CallerConnection::finish()
 {
     if (m_ended) {
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "net/eventloop.h"
+#include "proxy/body.h"
 #include "proxy/messageparser.h"
 #include "routing/route.h"
 
@@ -22,7 +23,7 @@
 /** Complete request from a caller. */
 struct CallerRequest {
     MessageHead head;
-    std::string body;
+    Body body;
     TimePoint received{}; ///< when its first byte was read
 };
 
@@ -48,11 +49,17 @@
     /** Sends a complete answer. */
     void reply(int status, const net::Headers &headers, std::string_view body);
 
+    /** Sends a complete answer whose body is sent by reference. */
+    void reply(int status, const net::Headers &headers, const Body &body);
+
     /** Starts a streamed answer; chunked if the length is unknown. */
     void start(int status, const net::Headers &headers, std::optional<std::uint64_t> length);
 
     void sendBody(std::string_view bytes);
 
+    /** Sends a part of the body by reference. */
+    void sendBody(const Body &body);
+
     /** Ends a streamed answer. */
     void finish();
 
@@ -80,6 +87,7 @@
     void handleBody(std::string_view bytes);
     void handleComplete();
     void reject(int status, const char *reason);
+    std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
     void scheduleEnd();
     void armIdleTimer();
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -45,6 +45,7 @@
     const MessageHead &head = attempt.result().head;
     m_caller.start(head.status, answerHeaders(head, m_context.protocol.names), head.contentLength);
     m_caller.sendBody(attempt.result().body);
+    m_request.body = Body(); // no further attempt can follow
     return true;
 }
 
@@ -123,6 +124,7 @@
     m_timer.cancel();
     m_waitTimer.cancel();
     releaseAttempts(now);
+    m_request.body = Body();
     m_context.metrics.countRequest(reason, now - m_request.received);
     logRequest(m_requestId, m_route, status, reason, m_attemptCount, now - m_request.received);
 }
--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -120,7 +120,11 @@
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
 }
 
-void OutboundConnection::send(std::string_view bytes, const std::string &requestId, bool headRequest, OutboundConnectionHooks hooks)
+void OutboundConnection::send(std::string_view bytes,
+                              const std::string &requestId,
+                              bool headRequest,
+                              OutboundConnectionHooks hooks,
+                              const Body &body)
 {
     m_hooks = std::move(hooks);
     m_requestId = requestId;
@@ -130,15 +134,22 @@
     m_onIdleEnd = {};
     m_parser.expectNoBody(headRequest);
     if (m_connected) {
-        bufferevent_write(m_socket, bytes.data(), bytes.size());
+        write(bytes, body);
         return;
     }
     // libevent would write the request as soon as the connection opens, before its connected event. A connect timeout in
     // between would then be reported as "nothing was sent".
     m_unsent = bytes;
+    m_unsentBody = body;
     open();
 }
 
+void OutboundConnection::write(std::string_view bytes, const Body &body)
+{
+    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    body.writeTo(bufferevent_get_output(m_socket));
+}
+
 void OutboundConnection::setIdleHook(std::function<void()> onEnd)
 {
     m_onIdleEnd = std::move(onEnd);
@@ -277,8 +288,10 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         connection->m_connected = true;
         connection->m_connectTimer.cancel();
-        bufferevent_write(connection->m_socket, connection->m_unsent.data(), connection->m_unsent.size());
-        connection->m_unsent = {};
+        connection->write(connection->m_unsent, connection->m_unsentBody);
+        // Assigning an empty string would keep the capacity for as long as the connection is idle.
+        std::string().swap(connection->m_unsent);
+        connection->m_unsentBody = Body();
         return;
     }
     if (!connection->m_connected) {
--- a/src/proxy/outboundconnection.h
+++ b/src/proxy/outboundconnection.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "net/eventloop.h"
+#include "proxy/body.h"
 #include "proxy/messageparser.h"
 #include "settings/settings.h"
 
@@ -63,8 +64,9 @@
     OutboundConnection(const OutboundConnection &) = delete;
     OutboundConnection &operator=(const OutboundConnection &) = delete;
 
-    /** Sends a request. bytes: its head and body. */
-    void send(std::string_view bytes, const std::string &requestId, bool headRequest, OutboundConnectionHooks hooks);
+    /** Sends a request. bytes: its head, and its body if that is small. body: the rest, which is sent by reference. */
+    void
+    send(std::string_view bytes, const std::string &requestId, bool headRequest, OutboundConnectionHooks hooks, const Body &body = Body());
 
     /** The hook is called when the peer closes the idle connection or sends unexpected bytes. */
     void setIdleHook(std::function<void()> onEnd);
@@ -91,6 +93,7 @@
     static void onRead(bufferevent *bufferedSocket, void *self);
     static void onEvent(bufferevent *bufferedSocket, short what, void *self);
     void open();
+    void write(std::string_view bytes, const Body &body);
     void readInput();
     void handleHead(MessageHead &&head);
     void handleBody(std::string_view bytes);
@@ -108,7 +111,8 @@
     OutboundConnectionHooks m_hooks;
     std::function<void()> m_onIdleEnd;
     std::string m_requestId;
-    std::string m_unsent; ///< request, until the connection is open
+    std::string m_unsent; ///< head of the request, until the connection is open
+    Body m_unsentBody; ///< body of the request, until the connection is open
     MessageHead m_answer;
     TimePoint m_lastAnswer{};
     Duration m_idleLimit;
