Bound the memory and the connections that callers can make a process hold

Nothing bounded the bodies of all requests together, the answers that wait for callers that do not read, the pipelined input or the number of connections, so a crowd of legal requests took a process over its memory or its descriptors, and the platform killed it.

- limits::MemoryAccount, asked before a part of a body is parsed.
Without room the connection is not read. limits::relieveMemory (pure) names the requests to end: bodies that stopped (408), answers that are not read, the newest request that waits (503 with Retry-After), running ones last.
Small requests and answers have a reserve.
- limits from the settings (memory-mb, max-fds), with defaults.
- A body may pause for 15 s in place of taking 30 s in all.
- An answer of which the caller reads nothing for 15 s is aborted.
- While memory is short, answers are streamed and paused earlier.
- Callers' connections and idle upstream connections have shares of the descriptors; the longest idle connection gives way to a new one.
- Unread input is bounded at 16 KiB per connection, the kernel's receive buffer at 128 KiB.

--- /dev/null
+++ b/src/limits/callershare.cpp
@@ -0,0 +1,50 @@
+#include "limits/callershare.h"
+
+#include <algorithm>
+
+namespace jackdawdoor::limits {
+
+namespace {
+
+/** Descriptors that the platform reserves for files. */
+constexpr std::size_t fileReserve = 200;
+constexpr double callersShare = 0.4;
+constexpr double idleUpstreamsShare = 0.15;
+/** A process with too few descriptors still serves some callers. */
+constexpr std::size_t minimumCallers = 16;
+constexpr std::size_t minimumIdleUpstreams = 8;
+/** A request that is sent without a pause is not taken for one that stands still. */
+constexpr Duration stallGrace = std::chrono::seconds{1};
+
+std::size_t shareOf(std::size_t descriptors, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(descriptors) * share);
+}
+
+} // namespace
+
+DescriptorShares descriptorSharesFor(std::size_t descriptors)
+{
+    if (descriptors == 0) {
+        return {};
+    }
+    const std::size_t sockets = descriptors > fileReserve ? descriptors - fileReserve : 0;
+    return {std::max(minimumCallers, shareOf(sockets, callersShare)), std::max(minimumIdleUpstreams, shareOf(sockets, idleUpstreamsShare))};
+}
+
+std::optional<std::uint64_t> connectionToClose(TimePoint now, const std::vector<ConnectionState> &connections)
+{
+    const ConnectionState *idle = nullptr;
+    const ConnectionState *stalled = nullptr;
+    for (const ConnectionState &connection : connections) {
+        if (connection.phase == ConnectionState::Phase::Idle) {
+            idle = idle == nullptr || connection.since < idle->since ? &connection : idle;
+        } else if (connection.phase == ConnectionState::Phase::Receiving && now - connection.since >= stallGrace) {
+            stalled = stalled == nullptr || connection.since < stalled->since ? &connection : stalled;
+        }
+    }
+    const ConnectionState *closed = idle != nullptr ? idle : stalled;
+    return closed == nullptr ? std::nullopt : std::optional(closed->id);
+}
+
+} // namespace jackdawdoor::limits
--- a/src/limits/memoryaccount.cpp
+++ b/src/limits/memoryaccount.cpp
@@ -75,6 +75,11 @@
     m_usedByKind.at(static_cast<std::size_t>(kind)) -= bytes;
 }
 
+void MemoryAccount::setLimits(MemoryLimits limits)
+{
+    m_limits = limits;
+}
+
 std::size_t MemoryAccount::used() const
 {
     return m_used;
--- a/src/limits/memoryaccount.h
+++ b/src/limits/memoryaccount.h
@@ -59,6 +59,9 @@
     void take(MemoryKind kind, std::size_t bytes);
     void giveBack(MemoryKind kind, std::size_t bytes);
 
+    /** Changes the limits; what is in use stays. */
+    void setLimits(MemoryLimits limits);
+
     std::size_t used() const;
     std::size_t used(MemoryKind kind) const;
     const MemoryLimits &limits() const;
--- a/src/platform/platformsettings.cpp
+++ b/src/platform/platformsettings.cpp
@@ -43,6 +43,16 @@
     return settings::parseEndpoint(*text);
 }
 
+/** Count in the table "limits"; zero if it is not stated, or not positive. */
+std::size_t limitAt(const toml::table &root, std::string_view key)
+{
+    const std::int64_t value = root["limits"][key].value_or(std::int64_t{0});
+    return value > 0 ? static_cast<std::size_t>(value) : 0;
+}
+
+/** The platform may mean MiB by MB; the smaller one is safe. */
+constexpr std::size_t bytesPerMegabyte = 1000000;
+
 /** Index into "internal-ports", and offset of the metrics port from the port between instances. */
 constexpr int peerPortIndex = 0;
 constexpr int metricsPortIndex = 1;
@@ -105,6 +115,8 @@
     settings.floorShare = findBound(root, "floor-share").value_or(settings.floorShare);
     settings.stopGracePeriod = fromSeconds(findBound(root, "grace-s").value_or(toSeconds(settings.stopGracePeriod)));
     settings.directoryTtl = fromSeconds(findBound(root, "ttl_max_s").value_or(toSeconds(settings.directoryTtl)));
+    settings.memoryBytes = limitAt(root, "memory-mb") * bytesPerMegabyte;
+    settings.maximumDescriptors = limitAt(root, "max-fds");
     return settings;
 }
 
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -56,6 +56,8 @@
 {
     m_started = now;
     m_requestId = request.requestId;
+    m_memory = request.memory;
+    m_result.body = Body(m_memory, limits::MemoryKind::Answer);
     m_connection = m_pool.take(now, m_upstream, request.maximumIdle, m_result.newConnection);
     OutboundConnectionHooks hooks;
     hooks.onHead = [this](const MessageHead &head) {
@@ -94,7 +96,8 @@
         return;
     }
     m_result.body.append(bytes);
-    if (m_result.body.size() <= maximumBufferedAnswerBytes) {
+    if (!mustStream()) {
+        pauseIfShort();
         return;
     }
     m_result.classification = classifyAnswer(m_result.head, m_requestId, m_protocol.names);
@@ -107,6 +110,31 @@
     m_result.body = Body();
 }
 
+bool Attempt::mustStream() const
+{
+    if (m_result.body.size() > maximumBufferedAnswerBytes) {
+        return true;
+    }
+    return m_memory && m_memory->shortage() > 0 && m_result.body.size() > limits::smallRequestBytes
+           && classifyAnswer(m_result.head, m_requestId, m_protocol.names).end == routing::AttemptEnd::Answered;
+}
+
+void Attempt::pauseIfShort()
+{
+    if (!m_paused && m_memory && !m_memory->available(limits::smallRequestBytes, limits::MemoryUser::Answer)) {
+        m_paused = true;
+        pauseReading(true);
+    }
+}
+
+void Attempt::resumeBuffering()
+{
+    if (m_paused && !m_rejected && m_memory->available(limits::smallRequestBytes, limits::MemoryUser::Answer)) {
+        m_paused = false;
+        pauseReading(false);
+    }
+}
+
 void Attempt::onComplete()
 {
     if (m_rejected) {
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -19,6 +19,7 @@
     std::string requestId;
     Duration deadline{}; ///< remaining time, sent to the upstream
     Duration maximumIdle{}; ///< longest idle time of a pooled connection that may be used
+    std::shared_ptr<limits::MemoryAccount> memory{}; ///< for the buffered answer; may be null
 };
 
 /** Result of an attempt. body is the whole answer body, or empty if the body was streamed. */
@@ -67,7 +68,12 @@
     /** Pauses or resumes reading the answer (back-pressure). */
     void pauseReading(bool paused);
 
+    /** Resumes reading an answer that is being buffered, if that was paused because memory was short and it no longer is. */
+    void resumeBuffering();
+
 private:
+    bool mustStream() const;
+    void pauseIfShort();
     void onHead(const MessageHead &head);
     void onComplete();
     void onFailure(ConnectionFailure failure);
@@ -81,7 +87,9 @@
     AttemptResult m_result;
     std::string m_requestId;
     TimePoint m_started{};
+    std::shared_ptr<limits::MemoryAccount> m_memory;
     bool m_streaming = false;
+    bool m_paused = false; ///< memory is short
     bool m_rejected = false; ///< the answer is too large and cannot be streamed
     bool m_overdue = false;
 };
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -15,12 +15,10 @@
 
 namespace {
 
-/** Limit of buffered input, such as pipelined requests. */
-constexpr std::size_t maximumReadAheadBytes = std::size_t{128} * 1024;
 /** Longer than callers wait for an answer, so that packet loss alone does not end a connection that still awaits one. */
 constexpr std::chrono::seconds callerPeerTimeout{15};
-/** A request body must arrive within this time after the head. */
-constexpr Duration bodyTimeout = std::chrono::seconds{30};
+/** A request whose body stops for this long is answered 408. */
+constexpr Duration bodyIdleTimeout = std::chrono::seconds{15};
 
 void appendHead(std::string &out, int status, const net::Headers &headers)
 {
@@ -64,7 +62,11 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
-CallerConnection::CallerConnection(net::EventLoop &loop, int socket, const routing::CallerLimits &limits, const CallerHooks &hooks)
+CallerConnection::CallerConnection(net::EventLoop &loop,
+                                   int socket,
+                                   const routing::CallerLimits &limits,
+                                   const CallerHooks &hooks,
+                                   std::shared_ptr<limits::MemoryAccount> memory)
     : m_loop(loop)
     , m_limits(limits)
     , m_hooks(hooks)
@@ -87,6 +89,10 @@
                   }
               })
     , m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+    , m_memory(std::move(memory))
+    , m_output(m_memory, limits::MemoryKind::Answer, 0)
+    , m_sentProgress(net::now())
+    , m_progressed(m_sentProgress)
 {
     setPeerTimeout(socket, callerPeerTimeout);
     bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
@@ -117,11 +123,17 @@
     while (!m_busy && !m_ended && !m_closing && evbuffer_get_length(input) > 0) {
         if (!m_receiving) {
             m_receiving = true;
+            m_receivingBody = false;
             m_request = {};
+            m_request.body = Body(m_memory, limits::MemoryKind::RequestBody);
             m_request.received = net::now();
+            m_progressed = m_request.received;
             m_timer.set(m_limits.headerTimeout);
         }
         const std::size_t length = evbuffer_get_contiguous_space(input);
+        if (!mayRead(length)) {
+            return;
+        }
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
         const std::size_t used = m_parser.feed(std::string_view(bytes, length));
         evbuffer_drain(input, used);
@@ -133,19 +145,24 @@
             reject(HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
         }
     }
+    if (m_receiving && m_receivingBody) {
+        m_timer.set(bodyIdleTimeout);
+        noteProgress();
+    }
 }
 
 void CallerConnection::handleHead(MessageHead &&head)
 {
     m_request.head = std::move(head);
-    m_timer.set(bodyTimeout);
+    m_receivingBody = true;
+    m_progressBytes = 0;
     m_headTooLarge = headSize(m_request.head) > m_limits.maximumHeaderBytes;
     const std::uint64_t announced = m_request.head.contentLength.value_or(0);
     m_tooLarge = announced > m_limits.maximumBodyBytes;
     m_request.body.expect(m_tooLarge ? 0 : static_cast<std::size_t>(announced));
     if (!net::findHeader(m_request.head.headers, "Expect").empty()) {
         constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(m_socket, continueAnswer.data(), continueAnswer.size());
+        write(continueAnswer);
     }
 }
 
@@ -173,14 +190,16 @@
     });
 }
 
-void CallerConnection::reject(int status, const char *reason)
+void CallerConnection::reject(int status, const char *reason, const net::Headers &headers)
 {
     m_timer.cancel();
+    m_request.body = Body();
+    m_waitingSince.reset();
     m_busy = true;
     m_receiving = false;
     m_closeAfterAnswer = true;
     m_hooks.onRejected(*this, status, reason);
-    reply(status, {}, std::string(reason) + "\n");
+    reply(status, headers, std::string(reason) + "\n");
 }
 
 void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
@@ -192,7 +211,7 @@
     if (!m_noBody && hasBody(status)) {
         out += body;
     }
-    bufferevent_write(m_socket, out.data(), out.size());
+    write(out);
     answerEnded();
 }
 
@@ -202,9 +221,9 @@
         return;
     }
     const std::string out = replyHead(status, headers, body.size());
-    bufferevent_write(m_socket, out.data(), out.size());
+    write(out);
     if (!m_noBody && hasBody(status)) {
-        body.writeTo(bufferevent_get_output(m_socket));
+        write(body);
     }
     answerEnded();
 }
@@ -233,7 +252,7 @@
         out += "Transfer-Encoding: chunked\r\n";
     }
     out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    bufferevent_write(m_socket, out.data(), out.size());
+    write(out);
 }
 
 void CallerConnection::sendBody(std::string_view bytes)
@@ -243,11 +262,11 @@
     }
     if (m_chunked) {
         const std::string head = chunkHead(bytes.size());
-        bufferevent_write(m_socket, head.data(), head.size());
+        write(head);
     }
-    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    write(bytes);
     if (m_chunked) {
-        bufferevent_write(m_socket, "\r\n", 2);
+        write("\r\n");
     }
 }
 
@@ -256,14 +275,12 @@
     if (m_ended || m_noBody || body.empty()) {
         return;
     }
-    evbuffer *output = bufferevent_get_output(m_socket);
     if (m_chunked) {
-        const std::string head = chunkHead(body.size());
-        evbuffer_add(output, head.data(), head.size());
+        write(chunkHead(body.size()));
     }
-    body.writeTo(output);
+    write(body);
     if (m_chunked) {
-        evbuffer_add(output, "\r\n", 2);
+        write("\r\n");
     }
 }
 
@@ -274,7 +291,7 @@
     }
     if (m_chunked && !m_noBody) {
         constexpr std::string_view last = "0\r\n\r\n";
-        bufferevent_write(m_socket, last.data(), last.size());
+        write(last);
     }
     answerEnded();
 }
@@ -282,6 +299,7 @@
 void CallerConnection::answerEnded()
 {
     m_busy = false;
+    m_progressed = net::now();
     m_chunked = false;
     if (m_closeAfterAnswer) {
         m_closing = true;
@@ -339,6 +357,7 @@
 void CallerConnection::onWritten(bufferevent * /*socket*/, void *self)
 {
     auto *connection = static_cast<CallerConnection *>(self);
+    connection->m_output.resize(0);
     if (connection->m_closing && !connection->m_busy) {
         connection->scheduleEnd();
     }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -5,6 +5,8 @@
  */
 #pragma once
 
+#include "limits/callershare.h"
+#include "limits/memorypressure.h"
 #include "net/eventloop.h"
 #include "proxy/body.h"
 #include "proxy/messageparser.h"
@@ -20,6 +22,9 @@
 
 namespace jackdawdoor::proxy {
 
+/** Limit of buffered input, such as pipelined requests. libevent reads no more at once, so a larger one would not be faster. */
+constexpr std::size_t maximumReadAheadBytes = std::size_t{16} * 1024;
+
 /** Complete request from a caller. */
 struct CallerRequest {
     MessageHead head;
@@ -41,7 +46,12 @@
 class CallerConnection
 {
 public:
-    CallerConnection(net::EventLoop &loop, int socket, const routing::CallerLimits &limits, const CallerHooks &hooks);
+    /** memory: account for bodies and answers; may be null. */
+    CallerConnection(net::EventLoop &loop,
+                     int socket,
+                     const routing::CallerLimits &limits,
+                     const CallerHooks &hooks,
+                     std::shared_ptr<limits::MemoryAccount> memory = nullptr);
     ~CallerConnection();
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
@@ -69,6 +79,27 @@
     /** Bytes in the output buffer that are not yet written to the socket. */
     std::size_t unsent() const;
 
+    /** Periodic work: notices whether the caller reads, and aborts an answer that it does not read for 15 s. */
+    void tick(TimePoint now);
+
+    /** Bytes received and not yet parsed, including those in the kernel that wait for the buffer, and of a partial head. */
+    std::size_t inputBytes() const;
+
+    /** Memory that the request needs to be read on; zero if it does not wait for memory. */
+    std::size_t wantedBytes() const;
+
+    /** Reads on if there is memory again. */
+    void resumeReading();
+
+    /** The request or answer as a holder of memory. runningBytes: memory of the request while it runs. */
+    limits::MemoryHolder memoryHolder(std::uint64_t id, std::size_t runningBytes) const;
+
+    /** What the connection does, for the choice of one to close. */
+    limits::ConnectionState connectionState(std::uint64_t id) const;
+
+    /** Ends a request that is being received or an answer that is not read. */
+    void endForMemory(limits::MemoryRelief relief);
+
     /** Announces "Connection: close" with the next answer; with closeIdle, an idle connection is closed now. */
     void beginClose(bool closeIdle);
 
@@ -86,7 +117,12 @@
     void handleHead(MessageHead &&head);
     void handleBody(std::string_view bytes);
     void handleComplete();
-    void reject(int status, const char *reason);
+    void reject(int status, const char *reason, const net::Headers &headers = {});
+    void write(std::string_view bytes);
+    void write(const Body &body);
+    bool mayRead(std::size_t bytes);
+    void noteProgress();
+    void abortUnread(const char *reason);
     std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
     void scheduleEnd();
@@ -99,6 +135,16 @@
     net::Timer m_timer; ///< header timeout, or idle timeout between requests
     bufferevent *m_socket;
     CallerRequest m_request;
+    std::shared_ptr<limits::MemoryAccount> m_memory;
+    limits::MemoryReservation m_output; ///< bytes of answers that were copied into the output buffer
+    std::uint64_t m_queuedBytes = 0; ///< written to the output buffer so far
+    std::uint64_t m_sentBytes = 0; ///< of these, sent by the last tick
+    TimePoint m_sentProgress{}; ///< when the caller last read a part of an answer
+    TimePoint m_progressed{}; ///< when a part of the body last arrived, or when the connection became idle
+    std::size_t m_progressBytes = 0; ///< size of the body then
+    std::optional<TimePoint> m_waitingSince; ///< not read for lack of memory
+    std::size_t m_wantedBytes = 0;
+    bool m_receivingBody = false;
     bool m_busy = false;
     bool m_chunked = false;
     bool m_closeAfterAnswer = false;
--- /dev/null
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -0,0 +1,156 @@
+// CallerConnection: memory, idle times and callers that do not read.
+#include "proxy/callerconnection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <sys/ioctl.h>
+
+#include <algorithm>
+
+namespace jackdawdoor::proxy {
+
+namespace {
+
+/** Longer than packet loss delays an answer, and shorter than callers wait for one. */
+constexpr Duration maximumUnreadTime = std::chrono::seconds{15};
+/** A body that arrives in smaller pieces than this per memoryStallGrace counts as stopped when memory is short. */
+constexpr std::size_t minimumProgressBytes = std::size_t{4} * 1024;
+/** Retry-After of a request that was refused for lack of memory; bodies that stop are closed within this time. */
+constexpr const char *memoryRetryAfter = "2";
+
+} // namespace
+
+void CallerConnection::write(std::string_view bytes)
+{
+    m_output.resize(m_output.bytes() + bytes.size());
+    m_queuedBytes += bytes.size();
+    bufferevent_write(m_socket, bytes.data(), bytes.size());
+}
+
+void CallerConnection::write(const Body &body)
+{
+    m_queuedBytes += body.size();
+    body.writeTo(bufferevent_get_output(m_socket));
+}
+
+bool CallerConnection::mayRead(std::size_t bytes)
+{
+    if (!m_memory || !m_receivingBody) {
+        return true;
+    }
+    const std::size_t growth = m_request.body.growth(bytes);
+    const bool isSmall = m_request.body.size() + bytes <= limits::smallRequestBytes;
+    if (growth == 0 || m_memory->available(growth, isSmall ? limits::MemoryUser::SmallRequest : limits::MemoryUser::LargeRequest)) {
+        m_waitingSince.reset();
+        return true;
+    }
+    m_wantedBytes = growth;
+    if (!m_waitingSince) {
+        m_waitingSince = net::now();
+        m_timer.cancel();
+        bufferevent_disable(m_socket, EV_READ);
+    }
+    return false;
+}
+
+void CallerConnection::resumeReading()
+{
+    if (!m_waitingSince || m_ended) {
+        return;
+    }
+    readInput();
+    if (!m_waitingSince && !m_ended) {
+        m_progressed = net::now();
+        bufferevent_enable(m_socket, EV_READ);
+    }
+}
+
+void CallerConnection::noteProgress()
+{
+    if (m_request.body.size() >= m_progressBytes + minimumProgressBytes) {
+        m_progressBytes = m_request.body.size();
+        m_progressed = net::now();
+    }
+}
+
+std::size_t CallerConnection::wantedBytes() const
+{
+    return m_waitingSince ? m_wantedBytes : 0;
+}
+
+std::size_t CallerConnection::inputBytes() const
+{
+    std::size_t bytes = evbuffer_get_length(bufferevent_get_input(m_socket));
+    int inKernel = 0;
+    // Only a connection that is not read has more than a moment's bytes in the kernel.
+    if ((m_waitingSince || bytes >= maximumReadAheadBytes) && ioctl(bufferevent_getfd(m_socket), FIONREAD, &inKernel) == 0) {
+        bytes += static_cast<std::size_t>(std::max(inKernel, 0));
+    }
+    return bytes + (m_receiving ? m_parser.headBytes() : 0);
+}
+
+limits::MemoryHolder CallerConnection::memoryHolder(std::uint64_t id, std::size_t runningBytes) const
+{
+    if (m_receiving) {
+        const std::size_t bytes = m_request.body.capacity();
+        return {id, limits::MemoryPhase::Receiving, bytes, m_request.received, m_progressed, m_waitingSince};
+    }
+    if (const std::size_t bytes = unsent(); bytes > 0) {
+        return {id, limits::MemoryPhase::Answering, bytes + runningBytes, m_request.received, m_sentProgress, std::nullopt};
+    }
+    return {id, limits::MemoryPhase::Running, runningBytes, m_request.received, m_request.received, std::nullopt};
+}
+
+limits::ConnectionState CallerConnection::connectionState(std::uint64_t id) const
+{
+    using Phase = limits::ConnectionState::Phase;
+    if (m_receiving) {
+        return {id, m_waitingSince ? Phase::Busy : Phase::Receiving, m_progressed};
+    }
+    return {id, idle() ? Phase::Idle : Phase::Busy, m_progressed};
+}
+
+void CallerConnection::endForMemory(limits::MemoryRelief relief)
+{
+    if (m_ended) {
+        return;
+    }
+    switch (relief) {
+    case limits::MemoryRelief::CloseStopped:
+        reject(HTTP_STATUS_REQUEST_TIMEOUT, limits::memoryReliefName(relief));
+        return;
+    case limits::MemoryRelief::Refuse:
+        reject(HTTP_STATUS_SERVICE_UNAVAILABLE, limits::memoryReliefName(relief), {{"Retry-After", memoryRetryAfter}});
+        return;
+    case limits::MemoryRelief::AbortUnread:
+    case limits::MemoryRelief::AbortRunning:
+        abortUnread(limits::memoryReliefName(relief));
+        return;
+    }
+}
+
+void CallerConnection::tick(TimePoint now)
+{
+    const std::size_t waiting = unsent();
+    m_output.resize(std::min(m_output.bytes(), waiting));
+    const std::uint64_t sent = m_queuedBytes - waiting;
+    if (waiting == 0 || sent != m_sentBytes) {
+        m_sentBytes = sent;
+        m_sentProgress = now;
+    } else if (!m_ended && now - m_sentProgress >= maximumUnreadTime) {
+        abortUnread("answer-not-read");
+    }
+}
+
+void CallerConnection::abortUnread(const char *reason)
+{
+    m_hooks.onRejected(*this, 0, reason);
+    if (m_busy) {
+        m_hooks.onGone(*this);
+    }
+    abort();
+}
+
+} // namespace jackdawdoor::proxy
--- a/src/proxy/connectionpool.cpp
+++ b/src/proxy/connectionpool.cpp
@@ -52,6 +52,13 @@
     if (!connection->reusable() || idle.size() >= maximumIdle) {
         return;
     }
+    if (m_mostIdle >= m_maximumIdle) {
+        m_mostIdle = idleCount();
+        if (m_mostIdle >= m_maximumIdle) {
+            return;
+        }
+    }
+    ++m_mostIdle;
     connection->setIdleHook([this, key = keyOf(upstream), raw = connection.get()] {
         auto &connections = m_idle[key];
         std::erase_if(connections, [raw](const auto &other) {
@@ -73,6 +80,21 @@
         });
         entry = entry->second.empty() || !known.contains(entry->first) ? m_idle.erase(entry) : std::next(entry);
     }
+    m_mostIdle = idleCount();
+}
+
+void ConnectionPool::setMaximumIdle(std::size_t connections)
+{
+    m_maximumIdle = connections;
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[key, connections] : m_idle) {
+        count += connections.size();
+    }
+    return count;
 }
 
 void ConnectionPool::drop(const fleet::UpstreamEntry &upstream)
--- a/src/proxy/connectionpool.h
+++ b/src/proxy/connectionpool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/upstreamentry.h"
+#include "limits/callershare.h"
 #include "proxy/outboundconnection.h"
 
 #include <map>
@@ -25,6 +26,9 @@
     /** Returns a connection to the pool; it is closed unless it is reusable and the pool has room. */
     void put(const fleet::UpstreamEntry &upstream, std::unique_ptr<OutboundConnection> connection);
 
+    /** Limits the idle connections to all upstreams together, whose descriptors are taken from those of the process. */
+    void setMaximumIdle(std::size_t connections);
+
     /** Closes connections that have been idle too long and those of upstreams that are not present. */
     void prune(TimePoint now, const std::vector<fleet::UpstreamEntry> &present);
 
@@ -35,10 +39,13 @@
     using Key = std::pair<UpstreamId, std::int64_t>;
 
     static Key keyOf(const fleet::UpstreamEntry &upstream);
+    std::size_t idleCount() const;
 
     net::EventLoop &m_loop;
     std::string m_requestIdHeader;
     std::map<Key, std::vector<std::unique_ptr<OutboundConnection>>> m_idle;
+    std::size_t m_maximumIdle = limits::DescriptorShares{}.idleUpstreams;
+    std::size_t m_mostIdle = 0; ///< upper bound of the number of idle connections; exact after prune()
 };
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -190,7 +190,7 @@
         forwardChunk(attempt, bytes);
     };
     m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.protocol, record.entry, std::move(hooks)));
-    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle()};
+    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle(), m_context.memory};
     m_attempts.back()->start(now, request);
 }
 
@@ -277,7 +277,7 @@
         return;
     }
     if (m_streaming != nullptr) {
-        if (m_caller.unsent() <= maximumUnsentBytes / 2) {
+        if (m_caller.unsent() <= unsentLimit() / 2) {
             m_streaming->pauseReading(false);
         }
         return;
@@ -285,6 +285,7 @@
     const double typicalLatencySeconds = m_context.upstreams.medianLatencySeconds(m_service);
     const Duration overdue = std::max(minimumOverdueTime, fromSeconds(typicalLatencySeconds * overdueLatencyFactor));
     for (const auto &attempt : m_attempts) {
+        attempt->resumeBuffering();
         const fleet::UpstreamEntry &upstream = attempt->upstream();
         if (attempt->age(now) > overdue && attempt->markOverdue()) {
             m_context.upstreams.recordOverdue(now, upstream.id, upstream.incarnation);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -36,7 +36,10 @@
     /** The final answer has been given or the caller has disconnected. */
     bool done() const;
 
-    /** Gives the final answer now, because the process stops. */
+    /** Memory of the request's body and of the answers that are being buffered. */
+    std::size_t heldBytes() const;
+
+    /** Gives the final answer now, because the process stops or memory is short. */
     void endForStop();
 
 private:
@@ -59,6 +62,7 @@
     void finish(TimePoint now, int status, const char *reason);
     void abandon(TimePoint now, const Attempt &attempt);
     void releaseAttempts(TimePoint now);
+    std::size_t unsentLimit() const;
     bool hedgeDue(TimePoint now) const;
     Duration maximumIdle() const;
     net::Headers ownHeaders() const;
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -52,11 +52,25 @@
 void Exchange::forwardChunk(Attempt &attempt, std::string_view bytes)
 {
     m_caller.sendBody(bytes);
-    if (m_caller.unsent() > maximumUnsentBytes) {
+    if (m_caller.unsent() > unsentLimit()) {
         attempt.pauseReading(true);
     }
 }
 
+std::size_t Exchange::unsentLimit() const
+{
+    return m_context.memory->shortage() > 0 ? limits::smallRequestBytes : maximumUnsentBytes;
+}
+
+std::size_t Exchange::heldBytes() const
+{
+    std::size_t bytes = m_request.body.capacity();
+    for (const auto &attempt : m_attempts) {
+        bytes += attempt->result().body.capacity();
+    }
+    return bytes;
+}
+
 void Exchange::sendAnswer(const Attempt &attempt)
 {
     const AttemptResult &result = attempt.result();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -69,6 +69,7 @@
 {
     m_context.retryLimits = m_settings.retryLimits;
     m_context.floorShare = m_settings.floorShare + floorMargin;
+    applyLimits(m_settings);
     m_context.broadcast = [this](const fleet::FleetMessage &message) {
         broadcast(message);
     };
@@ -82,6 +83,14 @@
 
 Gateway::~Gateway() = default;
 
+void Gateway::applyLimits(const ProxySettings &settings)
+{
+    const limits::DescriptorShares shares = limits::descriptorSharesFor(settings.maximumDescriptors);
+    m_context.memory->setLimits(limits::memoryLimitsFor(settings.memoryBytes));
+    m_context.maximumCallers = shares.callers;
+    m_context.pool.setMaximumIdle(shares.idleUpstreams);
+}
+
 Result<bool> Gateway::start(StoreAccess access)
 {
     m_access = std::move(access);
@@ -133,6 +142,9 @@
 void Gateway::reload(const ProxySettings &settings)
 {
     telemetry::writeLog(LogLevel::Info, "reload", settings == m_settings ? "unchanged" : "changed");
+    applyLimits(settings);
+    m_settings.memoryBytes = settings.memoryBytes;
+    m_settings.maximumDescriptors = settings.maximumDescriptors;
     m_settings.retryLimits = settings.retryLimits;
     m_settings.stopGracePeriod = settings.stopGracePeriod;
     m_context.floorShare = settings.floorShare + floorMargin;
@@ -308,6 +320,8 @@
 void Gateway::handleMetricsRequest(evhttp_request *request)
 {
     m_context.metrics.setDroppedLines(telemetry::droppedLines());
+    m_context.metrics.setMemory(*m_context.memory);
+    m_context.metrics.setCallers(m_proxy.connections(), m_context.maximumCallers);
     net::ServerExchange exchange(m_loop, request, m_metricsServer->limits(), {});
     exchange.reply(HTTP_OK, {{"Content-Type", "text/plain"}}, m_context.metrics.text());
 }
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -58,6 +58,7 @@
     ProxyMetrics &metrics();
 
 private:
+    void applyLimits(const ProxySettings &settings);
     void tick();
     void advanceStop(TimePoint now);
     void sendReports(TimePoint now);
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -165,6 +165,25 @@
                         {{"request", requestId}, {"fingerprint", identities(fingerprint)}, {"crashes", std::to_string(crashes)}});
 }
 
+void logLimited(const limits::MemoryAccount &account,
+                std::size_t callers,
+                std::size_t maximumCallers,
+                const std::map<std::string, int> &ended)
+{
+    using limits::MemoryKind;
+    telemetry::LogFields fields{{"memory", std::to_string(account.used())},
+                                {"memory-limit", std::to_string(account.limits().total)},
+                                {"callers", std::to_string(callers)},
+                                {"callers-limit", std::to_string(maximumCallers)}};
+    for (const MemoryKind kind : {MemoryKind::RequestBody, MemoryKind::Answer, MemoryKind::Input}) {
+        fields.emplace_back(limits::memoryKindName(kind), std::to_string(account.used(kind)));
+    }
+    for (const auto &[reason, count] : ended) {
+        fields.emplace_back("reason", reason + " " + std::to_string(count));
+    }
+    telemetry::writeLog(LogLevel::Warning, "apply limits", "requests or connections were ended", fields);
+}
+
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took)
 {
     telemetry::writeLog(LogLevel::Info,
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -6,6 +6,7 @@
 #include "proxy/attempt.h"
 #include "routing/routetable.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +49,12 @@
 /** Logs that a request is not sent because it crashes upstreams. */
 void logCrashRefusal(const std::string &requestId, const fleet::RequestFingerprint &fingerprint, std::size_t crashes);
 
+/** Logs how full the memory account and the connections are, and what the limits ended since the last such line. */
+void logLimited(const limits::MemoryAccount &account,
+                std::size_t callers,
+                std::size_t maximumCallers,
+                const std::map<std::string, int> &ended);
+
 /** Logs the final answer of a request. route may be nullptr; status 0 means that the connection ended without an answer. */
 void logRequest(const std::string &requestId, const routing::Route *route, int status, const char *reason, int attempts, Duration took);
 
--- a/src/proxy/proxymetrics.cpp
+++ b/src/proxy/proxymetrics.cpp
@@ -15,6 +15,11 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Family<prometheus::Gauge> &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 /** Upper bounds in seconds. */
 const prometheus::Histogram::BucketBoundaries latencyBuckets{0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2, 4, 8};
 
@@ -41,6 +46,13 @@
                                          .Help("Time from the first byte of a request to its final answer")
                                          .Register(registry)
                                          .Add({}, latencyBuckets);
+    prometheus::Family<prometheus::Counter> &limited =
+        counter(registry, "jackdawdoor_limited_total", "Requests, answers and connections that ended because of a limit, by reason");
+    prometheus::Family<prometheus::Gauge> &memory =
+        gauge(registry, "jackdawdoor_memory_bytes", "Memory of bodies, answers and input, by kind");
+    prometheus::Gauge &memoryLimit = gauge(registry, "jackdawdoor_memory_limit_bytes", "Limit of that memory").Add({});
+    prometheus::Gauge &callers = gauge(registry, "jackdawdoor_caller_connections", "Connections from callers").Add({});
+    prometheus::Gauge &callersLimit = gauge(registry, "jackdawdoor_caller_connections_limit", "Limit of these connections").Add({});
     prometheus::Gauge &dropped =
         prometheus::BuildGauge().Name("jackdawdoor_dropped_log_lines").Help("Log lines dropped").Register(registry).Add({});
 };
@@ -98,6 +110,25 @@
     m_families->dropped.Set(static_cast<double>(lines));
 }
 
+void ProxyMetrics::countLimited(std::string_view reason)
+{
+    m_families->limited.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void ProxyMetrics::setMemory(const limits::MemoryAccount &account)
+{
+    for (const auto kind : {limits::MemoryKind::RequestBody, limits::MemoryKind::Answer, limits::MemoryKind::Input}) {
+        m_families->memory.Add({{"kind", limits::memoryKindName(kind)}}).Set(static_cast<double>(account.used(kind)));
+    }
+    m_families->memoryLimit.Set(static_cast<double>(account.limits().total));
+}
+
+void ProxyMetrics::setCallers(std::size_t connections, std::size_t limit)
+{
+    m_families->callers.Set(static_cast<double>(connections));
+    m_families->callersLimit.Set(static_cast<double>(limit));
+}
+
 std::string ProxyMetrics::text() const
 {
     return prometheus::TextSerializer{}.Serialize(m_families->registry.Collect());
--- a/src/proxy/proxymetrics.h
+++ b/src/proxy/proxymetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "limits/memoryaccount.h"
 
 #include <memory>
 #include <string>
@@ -45,6 +46,15 @@
     /** Total number of log lines that were dropped because the reader of the log was too slow. */
     void setDroppedLines(std::uint64_t lines);
 
+    /** Counts a request, answer or connection that ended because of a limit. reason: as in the log line. */
+    void countLimited(std::string_view reason);
+
+    /** Memory of bodies, answers and input, by kind, and its limit. */
+    void setMemory(const limits::MemoryAccount &account);
+
+    /** Number of callers' connections and its limit. */
+    void setCallers(std::size_t connections, std::size_t limit);
+
     /** All metrics in the Prometheus text format. */
     std::string text() const;
 
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -6,6 +6,8 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <vector>
 
@@ -15,11 +17,14 @@
 
 /** Length of the accept queue. When it is full, SYN packets are dropped and callers wait seconds for the retransmission. */
 constexpr int backlog = 1024;
+/** Bytes in the kernel count as memory of the process. With 2 ms between caller and instance, this allows 64 MB/s. */
+constexpr int receiveBufferBytes = 128 * 1024;
 
 } // namespace
 
 ProxyServer::ProxyServer(RequestContext &context)
     : m_context(context)
+    , m_input(context.memory, limits::MemoryKind::Input, 0)
 {
     m_hooks.onRequest = [this](CallerConnection &connection, CallerRequest &&request) {
         handleRequest(connection, std::move(request));
@@ -33,7 +38,9 @@
     m_hooks.onEnd = [this](CallerConnection &connection) {
         drop(connection);
     };
-    m_hooks.onRejected = [](CallerConnection &, int status, const char *reason) {
+    m_hooks.onRejected = [this](CallerConnection &, int status, const char *reason) {
+        ++m_limited[reason];
+        m_context.metrics.countLimited(reason);
         logRequest("", nullptr, status, reason, 0, {});
     };
 }
@@ -60,14 +67,20 @@
     if (m_listener == nullptr) {
         return Error{"listen for callers", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
     }
+    // Accepted sockets inherit it.
+    setsockopt(evconnlistener_get_fd(m_listener), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     return settings::Endpoint{endpoint.host, net::boundPort(evconnlistener_get_fd(m_listener))};
 }
 
 void ProxyServer::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/, int /*length*/, void *self)
 {
     auto *server = static_cast<ProxyServer *>(self);
+    if (!server->makeRoom()) {
+        evutil_closesocket(socket);
+        return;
+    }
     const routing::CallerLimits limits = server->m_context.routes ? server->m_context.routes->limits() : routing::CallerLimits{};
-    auto connection = std::make_unique<CallerConnection>(server->m_context.loop, socket, limits, server->m_hooks);
+    auto connection = std::make_unique<CallerConnection>(server->m_context.loop, socket, limits, server->m_hooks, server->m_context.memory);
     if (server->m_stopping) {
         connection->beginClose(false);
     }
@@ -98,6 +111,10 @@
     for (Exchange *exchange : running) {
         exchange->tick(now);
     }
+    checkConnections(now);
+    readWaiting(now);
+    returnMemory(now);
+    logLimits(now);
     std::erase_if(m_exchanges, [](const auto &entry) {
         return entry.second->done();
     });
--- a/src/proxy/proxyserver.h
+++ b/src/proxy/proxyserver.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <string>
 
 struct evconnlistener;
 struct sockaddr;
@@ -50,12 +51,23 @@
     static void onAccept(evconnlistener *listener, int socket, sockaddr *address, int length, void *self);
     void handleRequest(CallerConnection &connection, CallerRequest &&request);
     void drop(CallerConnection &connection);
+    bool makeRoom();
+    void checkConnections(TimePoint now);
+    void readWaiting(TimePoint now);
+    void relieve(TimePoint now, std::size_t wanted);
+    void returnMemory(TimePoint now);
+    void logLimits(TimePoint now);
 
     RequestContext &m_context;
     CallerHooks m_hooks;
     std::map<const CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
     std::map<const CallerConnection *, std::unique_ptr<Exchange>> m_exchanges;
     evconnlistener *m_listener = nullptr;
+    limits::MemoryReservation m_input; ///< unread input of all connections
+    std::size_t m_mostMemory = 0; ///< since memory was last returned to the system
+    TimePoint m_nextReturn{};
+    TimePoint m_nextLimitLog{};
+    std::map<std::string, int> m_limited; ///< ended because of a limit since the last log line, by reason
     bool m_stopping = false;
 };
 
--- a/src/proxy/proxysettings.h
+++ b/src/proxy/proxysettings.h
@@ -6,6 +6,7 @@
 #include "proxy/requestcontext.h"
 #include "settings/settings.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     double floorShare = 0.7; ///< share of a service's healthy upstreams that must get requests
     Duration stopGracePeriod = std::chrono::seconds{6}; ///< from the stop signal until the process is killed
     bool fleetStarts = false; ///< all instances start for the first time, at about the same time
+    std::size_t memoryBytes = 0; ///< of the machine; zero if not stated
+    std::size_t maximumDescriptors = 0; ///< of the process; zero if not stated
     Duration directoryTtl = std::chrono::seconds{5}; ///< longest time for which a caller may cache a directory answer
 
     bool operator==(const ProxySettings &) const = default;
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -5,7 +5,9 @@
 #include "fleet/fleetmessage.h"
 #include "fleet/upstreamchoice.h"
 #include "fleet/upstreamtable.h"
+#include "limits/callershare.h"
 #include "limits/fleetretrybudget.h"
+#include "limits/memoryaccount.h"
 #include "net/eventloop.h"
 #include "proxy/connectionpool.h"
 #include "proxy/crashdetector.h"
@@ -16,6 +18,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace jackdawdoor::proxy {
@@ -35,6 +38,8 @@
     ProxyMetrics metrics{};
     CrashDetector crashes;
     double floorShare = 0; ///< share of the ready upstreams that always get requests
+    std::shared_ptr<limits::MemoryAccount> memory = std::make_shared<limits::MemoryAccount>(); ///< of bodies, answers and input
+    std::size_t maximumCallers = limits::DescriptorShares{}.callers; ///< connections from callers
     bool stopping = false; ///< new requests are refused
     std::function<void(const fleet::FleetMessage &)> broadcast{}; ///< to all live instances
     std::function<void(const fleet::FleetMessage &)> sendToRandom{}; ///< to a random live instance
--- /dev/null
+++ b/test/error/callerlimits_test.cpp
@@ -0,0 +1,223 @@
+/** Requests of callers while memory is short, and answers that callers do not read. */
+#include "proxy/callerconnection.h"
+
+#include <doctest/doctest.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+using namespace jackdawdoor;
+
+namespace {
+
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+
+/** One connection over a socket pair; its owner records what it hears. */
+class CallerFixture
+{
+public:
+    explicit CallerFixture(std::shared_ptr<limits::MemoryAccount> account)
+        : m_account(std::move(account))
+    {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, m_sockets) == 0);
+        m_hooks.onRequest = [this](proxy::CallerConnection &, proxy::CallerRequest &&request) {
+            bodyBytes = request.body.size();
+        };
+        m_hooks.onGone = [this](proxy::CallerConnection &) {
+            gone = true;
+        };
+        m_hooks.onRejected = [this](proxy::CallerConnection &, int status, const char *) {
+            rejected = status;
+        };
+        m_hooks.onEnd = [this](proxy::CallerConnection &) {
+            m_connection.reset();
+            ended = true;
+        };
+        m_loop.start();
+        m_loop.call([this] {
+            m_connection = std::make_unique<proxy::CallerConnection>(m_loop, m_sockets[0], routing::CallerLimits{}, m_hooks, m_account);
+        });
+    }
+
+    ~CallerFixture()
+    {
+        close(m_sockets[1]);
+        if (m_writer.joinable()) {
+            m_writer.join();
+        }
+        m_loop.call([this] {
+            m_connection.reset();
+        });
+        m_loop.stop();
+    }
+
+    CallerFixture(const CallerFixture &) = delete;
+    CallerFixture &operator=(const CallerFixture &) = delete;
+
+    /** Sends without waiting, since the connection may not read. */
+    void send(std::string bytes)
+    {
+        m_writer = std::thread([socket = m_sockets[1], bytes = std::move(bytes)] {
+            for (std::size_t sent = 0; sent < bytes.size();) {
+                const ssize_t count = ::send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+                if (count <= 0) {
+                    return;
+                }
+                sent += static_cast<std::size_t>(count);
+            }
+        });
+    }
+
+    void call(const std::function<void(proxy::CallerConnection &)> &action)
+    {
+        m_loop.call([&] {
+            if (m_connection) {
+                action(*m_connection);
+            }
+        });
+    }
+
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        for (int count = 0; count < 500 && !condition(); ++count) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        return condition();
+    }
+
+    std::string received()
+    {
+        char buffer[4096];
+        const ssize_t size = read(m_sockets[1], buffer, sizeof(buffer));
+        return {buffer, size > 0 ? static_cast<std::size_t>(size) : 0};
+    }
+
+    std::atomic<std::size_t> bodyBytes{0};
+    std::atomic<int> rejected{-1};
+    std::atomic<bool> gone{false};
+    std::atomic<bool> ended{false};
+
+private:
+    std::shared_ptr<limits::MemoryAccount> m_account;
+    net::EventLoop m_loop;
+    proxy::CallerHooks m_hooks;
+    int m_sockets[2]{};
+    std::thread m_writer;
+    std::unique_ptr<proxy::CallerConnection> m_connection;
+};
+
+std::string upload(std::size_t bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'u');
+}
+
+bool waitsForMemory(CallerFixture &caller)
+{
+    return caller.waitUntil([&] {
+        std::size_t wanted = 0;
+        caller.call([&](proxy::CallerConnection &connection) {
+            wanted = connection.wantedBytes();
+        });
+        return wanted > 0;
+    });
+}
+
+} // namespace
+
+// Guards against uploads that together exceed the memory of the machine, and against ones that are refused although memory
+// becomes free soon.
+TEST_CASE("a large body waits for memory and is read to its end when there is some")
+{
+    const auto account = std::make_shared<limits::MemoryAccount>(limits::MemoryLimits{8 * megabyte, megabyte});
+    CallerFixture caller(account);
+    caller.call([&](proxy::CallerConnection &) {
+        account->take(limits::MemoryKind::RequestBody, 5 * megabyte);
+    });
+    caller.send(upload(4 * megabyte));
+    REQUIRE_MESSAGE(waitsForMemory(caller), "the body was read beyond the limit");
+    caller.call([&](proxy::CallerConnection &connection) {
+        CHECK_MESSAGE(account->used() <= 7 * megabyte, account->used() << " bytes are held");
+        account->giveBack(limits::MemoryKind::RequestBody, 5 * megabyte);
+        connection.resumeReading();
+    });
+    CHECK_MESSAGE(caller.waitUntil([&] {
+        return caller.bodyBytes == 4 * megabyte;
+    }),
+                  "the request was not completed");
+    CHECK_MESSAGE(caller.rejected == -1, "the request was refused with " << caller.rejected);
+}
+
+// Guards against a refusal that a caller takes for an answer of the upstream, and against memory that stays taken after it.
+TEST_CASE("a request that is refused for lack of memory gets 503 with Retry-After, and its memory is free at once")
+{
+    const auto account = std::make_shared<limits::MemoryAccount>(limits::MemoryLimits{4 * megabyte, megabyte});
+    CallerFixture caller(account);
+    caller.send(upload(6 * megabyte));
+    REQUIRE(waitsForMemory(caller));
+    caller.call([&](proxy::CallerConnection &connection) {
+        connection.endForMemory(limits::MemoryRelief::Refuse);
+        CHECK_MESSAGE(account->used(limits::MemoryKind::RequestBody) == 0, "the body is still held");
+    });
+    const std::string answer = caller.received();
+    CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503 "), "the answer is " << answer);
+    CHECK_MESSAGE(answer.find("\r\nRetry-After: ") != std::string::npos, "the answer has no Retry-After: " << answer);
+    CHECK_MESSAGE(answer.find("\r\nConnection: close\r\n") != std::string::npos, "the rest of the body would be taken for a request");
+}
+
+// Guards against small requests that get no response while large ones hold the memory.
+TEST_CASE("a small body is read while large ones find no memory")
+{
+    const auto account = std::make_shared<limits::MemoryAccount>(limits::MemoryLimits{8 * megabyte, megabyte});
+    account->take(limits::MemoryKind::RequestBody, 7 * megabyte);
+    CallerFixture caller(account);
+    caller.send(upload(limits::smallRequestBytes));
+    CHECK(caller.waitUntil([&] {
+        return caller.bodyBytes == limits::smallRequestBytes;
+    }));
+}
+
+// Guards against answers that fill the memory because their callers never read them.
+TEST_CASE("an answer that its caller does not read for 15 s is aborted, and one that it reads slowly is not")
+{
+    const auto account = std::make_shared<limits::MemoryAccount>();
+    CallerFixture caller(account);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const TimePoint start = net::now();
+    std::size_t unsent = 0;
+    REQUIRE(caller.waitUntil([&] {
+        caller.call([&](proxy::CallerConnection &connection) {
+            if (connection.busy()) {
+                connection.start(200, {}, 4 * megabyte);
+                connection.sendBody(std::string(4 * megabyte, 'x'));
+            }
+            unsent = connection.unsent();
+        });
+        return unsent > 0;
+    }));
+    caller.call([&](proxy::CallerConnection &connection) {
+        connection.tick(start);
+        connection.tick(start + std::chrono::seconds{14});
+        CHECK_MESSAGE(connection.busy(), "the answer was aborted too early");
+    });
+    std::size_t read = 0;
+    for (std::size_t size = 1; size > 0 && read < megabyte;) {
+        size = caller.received().size();
+        read += size;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    caller.call([&](proxy::CallerConnection &connection) {
+        connection.tick(start + std::chrono::seconds{16});
+        CHECK_MESSAGE(connection.busy(), "an answer that is being read was aborted");
+        connection.tick(start + std::chrono::seconds{32});
+    });
+    CHECK_MESSAGE(caller.waitUntil([&] {
+        return caller.ended.load();
+    }),
+                  "an answer that is not read was not aborted");
+    CHECK_MESSAGE(caller.gone.load(), "the request was not ended");
+}
