--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -31,11 +31,11 @@
 
 } // namespace
 
-std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
+std::string upstreamRequestHead(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names)
 {
     const MessageHead &head = *request.head;
     std::string out;
-    out.reserve(request.body->size() + 1024);
+    out.reserve(1024);
     out += head.method + " " + head.target + " HTTP/1.1\r\n";
     for (const net::Header &header : net::withoutHopByHop(head.headers)) {
         if (!isReplaced(header, names) && !isWithheld(header, request.caller, names)) {
@@ -53,7 +53,6 @@
         out += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
     }
     out += "\r\n";
-    out += *request.body;
     return out;
 }
 
@@ -71,6 +70,8 @@
 {
     m_started = now;
     m_requestId = request.requestId;
+    m_memory = request.memory;
+    m_result.body = Body(m_memory, limits::MemoryKind::Answer);
     m_connection = m_pool.take(now, m_upstream, request.maximumIdle, m_result.newConnection);
     OutboundConnectionHooks hooks;
     hooks.onHead = [this](const MessageHead &head) {
@@ -85,8 +86,11 @@
     hooks.onFailure = [this](ConnectionFailure failure) {
         onFailure(failure);
     };
-    m_connection->send(
-        upstreamRequest(request, m_upstream, m_protocol.names), m_requestId, request.head->method == "HEAD", std::move(hooks));
+    m_connection->send(upstreamRequestHead(request, m_upstream, m_protocol.names),
+                       m_requestId,
+                       request.head->method == "HEAD",
+                       std::move(hooks),
+                       *request.body);
 }
 
 void Attempt::onHead(const MessageHead &head)
@@ -106,7 +110,8 @@
         return;
     }
     m_result.body.append(bytes);
-    if (m_result.body.size() <= maximumBufferedAnswerBytes) {
+    if (!mustStream()) {
+        pauseIfShort();
         return;
     }
     m_result.classification = classifyAnswer(m_result.head, m_requestId, m_protocol.names);
@@ -116,7 +121,32 @@
         m_rejected = true;
         m_connection->rejectAnswer();
     }
-    m_result.body.clear();
+    m_result.body = Body();
+}
+
+bool Attempt::mustStream() const
+{
+    if (m_result.body.size() > maximumBufferedAnswerBytes) {
+        return true;
+    }
+    return m_memory && m_memory->shortage() > 0 && m_result.body.size() > limits::smallRequestBytes
+           && classifyAnswer(m_result.head, m_requestId, m_protocol.names).end == routing::AttemptEnd::Answered;
+}
+
+void Attempt::pauseIfShort()
+{
+    if (!m_paused && m_memory && !m_memory->available(limits::smallRequestBytes, limits::MemoryUser::Answer)) {
+        m_paused = true;
+        pauseReading(true);
+    }
+}
+
+void Attempt::resumeBuffering()
+{
+    if (m_paused && !m_rejected && m_memory->available(limits::smallRequestBytes, limits::MemoryUser::Answer)) {
+        m_paused = false;
+        pauseReading(false);
+    }
 }
 
 void Attempt::onComplete()
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -23,11 +23,12 @@
 /** The request to send; the pointers must stay valid during start(). */
 struct AttemptRequest {
     const MessageHead *head = nullptr;
-    const std::string *body = nullptr;
+    const Body *body = nullptr;
     std::string requestId;
     Duration deadline{}; ///< remaining time, sent to the upstream
     Duration maximumIdle{}; ///< longest idle time of a pooled connection that may be used
     CallerIdentity caller{};
+    std::shared_ptr<limits::MemoryAccount> memory{}; ///< for the buffered answer; may be null
 };
 
 /** Result of an attempt. body is the whole answer body, or empty if the body was streamed. */
@@ -35,7 +36,7 @@
     AnswerClassification classification;
     MessageHead head;
     fleet::UpstreamSignals signals; ///< of the sender of the head, which may not be the upstream, see isOwnAnswer
-    std::string body;
+    Body body;
     Duration took{};
     bool newConnection = false;
     bool connectionLost = false; ///< the upstream closed or reset the connection before the end of the answer
@@ -76,7 +77,12 @@
     /** Pauses or resumes reading the answer (back-pressure). */
     void pauseReading(bool paused);
 
+    /** Resumes reading an answer that is being buffered, if that was paused because memory was short and it no longer is. */
+    void resumeBuffering();
+
 private:
+    bool mustStream() const;
+    void pauseIfShort();
     void onHead(const MessageHead &head);
     void onComplete();
     void onFailure(ConnectionFailure failure);
@@ -90,12 +96,14 @@
     AttemptResult m_result;
     std::string m_requestId;
     TimePoint m_started{};
+    std::shared_ptr<limits::MemoryAccount> m_memory;
     bool m_streaming = false;
+    bool m_paused = false; ///< memory is short
     bool m_rejected = false; ///< the answer is too large and cannot be streamed
     bool m_overdue = false;
 };
 
-/** Serialises a request for an upstream. */
-std::string upstreamRequest(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names);
+/** Serialises the head of a request for an upstream. */
+std::string upstreamRequestHead(const AttemptRequest &request, const fleet::UpstreamEntry &upstream, const HeaderNames &names);
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -15,12 +15,10 @@
 
 namespace {
 
-/** Limit of buffered input, such as pipelined requests. */
-constexpr std::size_t maximumReadAheadBytes = std::size_t{128} * 1024;
 /** Longer than callers wait for an answer, so that packet loss alone does not end a connection that still awaits one. */
 constexpr std::chrono::seconds callerPeerTimeout{15};
-/** A request body must arrive within this time after the head. */
-constexpr Duration bodyTimeout = std::chrono::seconds{30};
+/** A request whose body stops for this long is answered 408. */
+constexpr Duration bodyIdleTimeout = std::chrono::seconds{15};
 
 void appendHead(std::string &out, int status, const net::Headers &headers)
 {
@@ -64,7 +62,11 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
-CallerConnection::CallerConnection(net::EventLoop &loop, int socket, const routing::CallerLimits &limits, const CallerHooks &hooks)
+CallerConnection::CallerConnection(net::EventLoop &loop,
+                                   int socket,
+                                   const routing::CallerLimits &limits,
+                                   const CallerHooks &hooks,
+                                   std::shared_ptr<limits::MemoryAccount> memory)
     : m_loop(loop)
     , m_limits(limits)
     , m_hooks(hooks)
@@ -87,6 +89,10 @@
                   }
               })
     , m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+    , m_memory(std::move(memory))
+    , m_output(m_memory, limits::MemoryKind::Answer, 0)
+    , m_sentProgress(net::now())
+    , m_progressed(m_sentProgress)
 {
     setPeerTimeout(socket, callerPeerTimeout);
     bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
@@ -117,11 +123,17 @@
     while (!m_busy && !m_ended && !m_closing && evbuffer_get_length(input) > 0) {
         if (!m_receiving) {
             m_receiving = true;
+            m_receivingBody = false;
             m_request = {};
+            m_request.body = Body(m_memory, limits::MemoryKind::RequestBody);
             m_request.received = net::now();
+            m_progressed = m_request.received;
             m_timer.set(m_limits.headerTimeout);
         }
         const std::size_t length = evbuffer_get_contiguous_space(input);
+        if (!mayRead(length)) {
+            return;
+        }
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
         const std::size_t used = m_parser.feed(std::string_view(bytes, length));
         evbuffer_drain(input, used);
@@ -133,17 +145,24 @@
             reject(HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
         }
     }
+    if (m_receiving && m_receivingBody) {
+        m_timer.set(bodyIdleTimeout);
+        noteProgress();
+    }
 }
 
 void CallerConnection::handleHead(MessageHead &&head)
 {
     m_request.head = std::move(head);
-    m_timer.set(bodyTimeout);
+    m_receivingBody = true;
+    m_progressBytes = 0;
     m_headTooLarge = headSize(m_request.head) > m_limits.maximumHeaderBytes;
-    m_tooLarge = m_request.head.contentLength.value_or(0) > m_limits.maximumBodyBytes;
+    const std::uint64_t announced = m_request.head.contentLength.value_or(0);
+    m_tooLarge = announced > m_limits.maximumBodyBytes;
+    m_request.body.expect(m_tooLarge ? 0 : static_cast<std::size_t>(announced));
     if (!net::findHeader(m_request.head.headers, "Expect").empty()) {
         constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(m_socket, continueAnswer.data(), continueAnswer.size());
+        write(continueAnswer);
     }
 }
 
@@ -171,14 +190,16 @@
     });
 }
 
-void CallerConnection::reject(int status, const char *reason)
+void CallerConnection::reject(int status, const char *reason, const net::Headers &headers)
 {
     m_timer.cancel();
+    m_request.body = Body();
+    m_waitingSince.reset();
     m_busy = true;
     m_receiving = false;
     m_closeAfterAnswer = true;
     m_hooks.onRejected(*this, status, reason);
-    reply(status, {}, std::string(reason) + "\n");
+    reply(status, headers, std::string(reason) + "\n");
 }
 
 void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
@@ -186,18 +207,37 @@
     if (!m_busy || m_ended) {
         return;
     }
+    std::string out = replyHead(status, headers, body.size());
+    if (!m_noBody && hasBody(status)) {
+        out += body;
+    }
+    write(out);
+    answerEnded();
+}
+
+void CallerConnection::reply(int status, const net::Headers &headers, const Body &body)
+{
+    if (!m_busy || m_ended) {
+        return;
+    }
+    const std::string out = replyHead(status, headers, body.size());
+    write(out);
+    if (!m_noBody && hasBody(status)) {
+        write(body);
+    }
+    answerEnded();
+}
+
+std::string CallerConnection::replyHead(int status, const net::Headers &headers, std::size_t length) const
+{
     std::string out;
-    out.reserve(body.size() + 512);
+    out.reserve(512);
     appendHead(out, status, headers);
     if (hasBody(status)) {
-        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        out += "Content-Length: " + std::to_string(length) + "\r\n";
     }
     out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    if (!m_noBody && hasBody(status)) {
-        out += body;
-    }
-    bufferevent_write(m_socket, out.data(), out.size());
-    answerEnded();
+    return out;
 }
 
 void CallerConnection::start(int status, const net::Headers &headers, std::optional<std::uint64_t> length)
@@ -212,7 +252,7 @@
         out += "Transfer-Encoding: chunked\r\n";
     }
     out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    bufferevent_write(m_socket, out.data(), out.size());
+    write(out);
 }
 
 void CallerConnection::sendBody(std::string_view bytes)
@@ -222,11 +262,25 @@
     }
     if (m_chunked) {
         const std::string head = chunkHead(bytes.size());
-        bufferevent_write(m_socket, head.data(), head.size());
+        write(head);
+    }
+    write(bytes);
+    if (m_chunked) {
+        write("\r\n");
+    }
+}
+
+void CallerConnection::sendBody(const Body &body)
+{
+    if (m_ended || m_noBody || body.empty()) {
+        return;
+    }
+    if (m_chunked) {
+        write(chunkHead(body.size()));
     }
-    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    write(body);
     if (m_chunked) {
-        bufferevent_write(m_socket, "\r\n", 2);
+        write("\r\n");
     }
 }
 
@@ -237,7 +291,7 @@
     }
     if (m_chunked && !m_noBody) {
         constexpr std::string_view last = "0\r\n\r\n";
-        bufferevent_write(m_socket, last.data(), last.size());
+        write(last);
     }
     answerEnded();
 }
@@ -245,6 +299,7 @@
 void CallerConnection::answerEnded()
 {
     m_busy = false;
+    m_progressed = net::now();
     m_chunked = false;
     if (m_closeAfterAnswer) {
         m_closing = true;
@@ -302,6 +357,7 @@
 void CallerConnection::onWritten(bufferevent * /*socket*/, void *self)
 {
     auto *connection = static_cast<CallerConnection *>(self);
+    connection->m_output.resize(0);
     if (connection->m_closing && !connection->m_busy) {
         connection->scheduleEnd();
     }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -105,7 +105,7 @@
         route().latencyObjective > Duration::zero() ? route().latencyObjective / capacityWaitDivisor : defaultCapacityWait;
     m_capacityDeadline = m_request.received + capacityWait;
     m_service = m_context.split.next(route());
-    m_fingerprint = fleet::fingerprintOf(host, m_request.head.method, target, m_request.body);
+    m_fingerprint = fleet::fingerprintOf(host, m_request.head.method, target, m_request.body.blocks());
     if (m_context.stopping) {
         refuse(now, "stopping");
         return;
@@ -202,7 +202,8 @@
         forwardChunk(attempt, bytes);
     };
     m_attempts.push_back(std::make_unique<Attempt>(m_context.pool, m_context.protocol, record.entry, std::move(hooks)));
-    const AttemptRequest request{&m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle(), callerIdentity()};
+    const AttemptRequest request{
+        &m_request.head, &m_request.body, m_requestId, m_deadline - now, maximumIdle(), callerIdentity(), m_context.memory};
     m_attempts.back()->start(now, request);
 }
 
@@ -289,7 +290,7 @@
         return;
     }
     if (m_streaming != nullptr) {
-        if (m_caller.unsent() <= maximumUnsentBytes / 2) {
+        if (m_caller.unsent() <= unsentLimit() / 2) {
             m_streaming->pauseReading(false);
         }
         return;
@@ -297,6 +298,7 @@
     const double typicalLatencySeconds = m_context.upstreams.medianLatencySeconds(m_service);
     const Duration overdue = std::max(minimumOverdueTime, fromSeconds(typicalLatencySeconds * overdueLatencyFactor));
     for (const auto &attempt : m_attempts) {
+        attempt->resumeBuffering();
         const fleet::UpstreamEntry &upstream = attempt->upstream();
         if (attempt->age(now) > overdue && attempt->markOverdue()) {
             m_context.upstreams.recordOverdue(now, upstream.id, upstream.incarnation);
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -45,17 +45,32 @@
     const MessageHead &head = attempt.result().head;
     m_caller.start(head.status, answerHeaders(head, m_context.protocol.names), head.contentLength);
     m_caller.sendBody(attempt.result().body);
+    m_request.body = Body(); // no further attempt can follow
     return true;
 }
 
 void Exchange::forwardChunk(Attempt &attempt, std::string_view bytes)
 {
     m_caller.sendBody(bytes);
-    if (m_caller.unsent() > maximumUnsentBytes) {
+    if (m_caller.unsent() > unsentLimit()) {
         attempt.pauseReading(true);
     }
 }
 
+std::size_t Exchange::unsentLimit() const
+{
+    return m_context.memory->shortage() > 0 ? limits::smallRequestBytes : maximumUnsentBytes;
+}
+
+std::size_t Exchange::heldBytes() const
+{
+    std::size_t bytes = m_request.body.capacity();
+    for (const auto &attempt : m_attempts) {
+        bytes += attempt->result().body.capacity();
+    }
+    return bytes;
+}
+
 void Exchange::sendAnswer(const Attempt &attempt)
 {
     const AttemptResult &result = attempt.result();
@@ -123,6 +138,7 @@
     m_timer.cancel();
     m_waitTimer.cancel();
     releaseAttempts(now);
+    m_request.body = Body();
     m_context.metrics.countRequest(reason, now - m_request.received);
     logRequest(m_requestId, m_route, status, reason, m_attemptCount, now - m_request.received);
 }
