Ignore late records that a full state has already covered

A late message could bring in an upstream that the last full state lacked: through an entry of an earlier history, or through a state of an instance that had read nothing.

--- a/src/fleet/upstreamcatalogue.cpp
+++ b/src/fleet/upstreamcatalogue.cpp
@@ -31,6 +31,11 @@
     return history == HistoryOrder::Same ? first->offset > second->offset : history == HistoryOrder::Later;
 }
 
+bool isNoLaterPosition(const std::optional<StorePosition> &first, const std::optional<StorePosition> &second)
+{
+    return compareHistories(first, second) == HistoryOrder::Same && first->offset <= second->offset;
+}
+
 } // namespace
 
 /** Returns what is known of an upstream. absent: what holds for upstreams without an entry. */
@@ -64,6 +69,10 @@
 
 CatalogueChange UpstreamCatalogue::apply(const UpstreamEntry &entry, const std::optional<CatalogueState> &absent)
 {
+    // The newest record of each upstream up to there is known already.
+    if (absent && isNoLaterPosition(entry.position, absent->position)) {
+        return CatalogueChange::Nothing;
+    }
     confirm(entry);
     const auto before = known(entry.id, absent);
     if (before && !isNewer({false, reportOf(entry), entry.position}, *before)) {
@@ -180,11 +189,11 @@
                                  Unlisted withoutPosition,
                                  const std::optional<TimePoint> &confirmUntil)
 {
-    const HistoryOrder history = compareHistories(through, m_complete);
-    const bool isLatest = history == HistoryOrder::Same ? through->offset >= m_complete->offset : history != HistoryOrder::Earlier;
+    const bool statesHistory = through && (through->history || !m_complete || !m_complete->history);
+    const bool isLatest = statesHistory && !isLaterPosition(m_complete, through);
+    // An entry that the latest full state lacks is applied only from a state that is at least as late.
     const auto absent = isLatest ? std::nullopt : absence();
-    const bool statesLess = history == HistoryOrder::Unknown && m_complete && (!through || !through->history);
-    if (isLatest && !statesLess) {
+    if (isLatest) {
         m_complete = through;
     }
     bool changed = false;
