--- a/test/overload/overload_test.cpp
+++ b/test/overload/overload_test.cpp
@@ -7,10 +7,14 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <chrono>
 #include <cstdio>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace jackdawdoor::overload {
 
@@ -234,4 +238,55 @@
     checkSurvival(process, limits);
 }
 
+// Guards against limits that end requests at an upstream for memory that is reserved and not used: each caller sends 1 KB of 8 MB.
+TEST_CASE("requests that run are answered while many callers announce large bodies")
+{
+    constexpr std::size_t running = 6;
+    constexpr std::size_t announcing = 500;
+    constexpr std::size_t sentBytes = 1024;
+    ProcessLimits limits;
+    limits.descriptors = 4100;
+    ProxyProcess process(limits);
+    std::vector<std::future<std::string>> answers;
+    for (std::size_t number = 0; number < running; ++number) {
+        answers.push_back(std::async(std::launch::async, [&process, number] {
+            standins::RawClient client(process.callersPort(), 20000);
+            client.send(requestHead("POST", "/once/slow", number, "Content-Length: 4\r\n") + "body");
+            return client.receiveAnswer();
+        }));
+    }
+    while (process.alive() && process.received("/slow") < running) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    Crowd crowd(process.callersPort(), largePieceBytes);
+    for (std::size_t number = running; number < running + announcing; ++number) {
+        const std::string head = uploadHead(number, "Content-Length: " + std::to_string(limits.maximumBodyBytes) + "\r\n");
+        crowd.add({head + std::string(sentBytes, 'b')});
+    }
+    crowd.run();
+    for (auto &answer : answers) {
+        CHECK(answer.get().starts_with("HTTP/1.1 200"));
+    }
+    checkSurvival(process, limits);
+}
+
+// Guards against a bound on the connections of the requests' port alone: callers also connect to the directory.
+TEST_CASE("more connections to the directory than descriptors leave room for an ordinary caller")
+{
+    constexpr std::size_t connections = 700;
+    constexpr std::size_t batch = 50; // fewer than the accept queue holds, so that no connection waits for a retransmission
+    constexpr std::chrono::milliseconds acceptTime{100};
+    const ProcessLimits limits;
+    ProxyProcess process(limits);
+    Crowd crowd(process.directoryPort(), largePieceBytes);
+    for (std::size_t number = 1; number <= connections; ++number) {
+        crowd.add({"GET /v1/resolve?host=h.example HTTP/1.1\r\n"});
+        if (number % batch == 0) {
+            crowd.run();
+            std::this_thread::sleep_for(acceptTime);
+        }
+    }
+    checkSurvival(process, limits);
+}
+
 } // namespace jackdawdoor::overload
--- a/test/overload/proxyprocess.cpp
+++ b/test/overload/proxyprocess.cpp
@@ -35,6 +35,8 @@
 constexpr int portsPerProcess = 5;
 constexpr std::size_t usualUploadBytes = std::size_t{60} * 1024;
 constexpr std::size_t mediumAnswerBytes = std::size_t{600} * 1024;
+/** Long enough for a crowd to arrive meanwhile. */
+constexpr Duration slowAnswerDelay = std::chrono::seconds{4};
 constexpr Duration startTimeout = std::chrono::seconds{10};
 constexpr Duration serviceTimeout = std::chrono::seconds{20};
 /** Generous, so that the verdict does not depend on the speed of the machine. */
@@ -58,7 +60,9 @@
     } else if (pathOf(request).ends_with("medium")) {
         size = mediumAnswerBytes;
     }
-    return {ScriptedUpstream::answerTo(request, 200, std::string(size, 'a'))};
+    ScriptedReply reply{ScriptedUpstream::answerTo(request, 200, std::string(size, 'a'))};
+    reply.delay = pathOf(request).ends_with("slow") ? slowAnswerDelay : Duration::zero();
+    return reply;
 }
 
 nlohmann::json rule(const char *name, const char *kind, const char *prefix)
@@ -188,6 +192,11 @@
     return m_callersPort;
 }
 
+int ProxyProcess::directoryPort() const
+{
+    return m_callersPort + 2;
+}
+
 bool ProxyProcess::alive() const
 {
     // WNOWAIT leaves an ended process to the destructor.
--- a/test/overload/proxyprocess.h
+++ b/test/overload/proxyprocess.h
@@ -27,7 +27,7 @@
 };
 
 /** Runs `jackdawdoor proxy` until destroyed. The upstreams answer each request; paths that end in "large" and "medium" get
- * bodies of 8 MB and 600 KB. */
+ * bodies of 8 MB and 600 KB; "slow" is answered after 4 s. */
 class ProxyProcess
 {
 public:
@@ -38,6 +38,7 @@
     ProxyProcess &operator=(const ProxyProcess &) = delete;
 
     int callersPort() const;
+    int directoryPort() const;
 
     /** False when the process has ended. */
     bool alive() const;
