Add quota reports to the messages between instances

Tests: round trip and truncation (fleet_test), a full datagram, and numbers of the wrong kind or size (quotareports_test).

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 
@@ -66,6 +67,20 @@
     return out;
 }
 
+json encodePayload(const QuotaReport &report)
+{
+    json items = json::array();
+    for (const limits::QuotaItem &item : report.items) {
+        items.push_back(item.key);
+        items.push_back(item.started);
+        items.push_back(item.admitted);
+        items.push_back(item.givenBack);
+        items.push_back(item.asked);
+        items.push_back(static_cast<float>(item.balance)); // four bytes are enough
+    }
+    return json::array({report.sequence, report.uptime, report.active, std::move(items)});
+}
+
 json encodePayload(const StoreNotice &notice)
 {
     json fields = json::array({notice.configurationVersion, notice.catalogue, notice.age.count()});
@@ -171,6 +186,29 @@
     return report;
 }
 
+/** A conversion of a floating-point number that does not fit would be undefined. */
+std::int64_t decodeCount(const json &in)
+{
+    return in.is_number_integer() ? in.get<std::int64_t>() : -1;
+}
+
+QuotaReport decodeQuotaReport(const json &in)
+{
+    constexpr std::size_t itemWidth = 6;
+    QuotaReport report{decodeCount(in.at(0)), decodeCount(in.at(1)), in.at(2).get<bool>(), {}};
+    const json &items = in.at(3);
+    const std::size_t length = std::min(items.size(), limits::maximumQuotaItems * itemWidth);
+    for (std::size_t index = 0; index + itemWidth <= length; index += itemWidth) {
+        report.items.push_back({static_cast<std::uint64_t>(decodeCount(items.at(index))),
+                                decodeCount(items.at(index + 1)),
+                                decodeCount(items.at(index + 2)),
+                                decodeCount(items.at(index + 3)),
+                                decodeCount(items.at(index + 4)),
+                                items.at(index + 5).get<double>()});
+    }
+    return report;
+}
+
 membership::MembershipMessage decodeMembership(const json &in)
 {
     switch (in.at(0).get<std::size_t>()) {
@@ -200,8 +238,10 @@
         return MisdirectedNotice{in.at(0).get<std::uint32_t>()};
     case 6:
         return decodeMembership(in);
-    default:
+    case 7:
         return decodeCrashReport(in);
+    default:
+        return decodeQuotaReport(in);
     }
 }
 
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -10,6 +10,7 @@
 #include "fleet/crashtracker.h"
 #include "fleet/storehistory.h"
 #include "fleet/upstreamcatalogue.h"
+#include "limits/quotareport.h"
 #include "membership/membershipmessage.h"
 
 #include <cstdint>
@@ -120,6 +121,9 @@
 void to_json(nlohmann::json &json, const UpstreamEntry &entry);
 void from_json(const nlohmann::json &json, UpstreamEntry &entry);
 
+/** Requests of organisations with a quota. At most limits::maximumQuotaItems items. */
+using QuotaReport = limits::QuotaReport;
+
 using FleetMessage = std::variant<LoadReport,
                                   UpstreamNotice,
                                   CrashNotice,
@@ -127,7 +131,8 @@
                                   UpstreamDelta,
                                   MisdirectedNotice,
                                   membership::MembershipMessage,
-                                  CrashReport>;
+                                  CrashReport,
+                                  QuotaReport>;
 
 /** A message with its sender. */
 struct FleetDatagram {
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -385,6 +385,8 @@
                                              CrashNotice{1234567890123ULL, 5},
                                              CrashReport{{{1234567890123ULL, 2, milliseconds{1500}, {5, 6}}, {7, 0, {}, {}}}},
                                              MisdirectedNotice{6},
+                                             QuotaReport{3, 61000, true, {{~0ULL, 60000, 172, 1, 200, -4.5}, {8, 0, 1, 0, 1, 20}}},
+                                             QuotaReport{4, 61020, false, {}},
                                              StoreNotice{12, 34, milliseconds{56}},
                                              UpstreamDelta{{makeEntry("u", 3, 4)}, {{UpstreamId{"v"}, 5, 6}}},
                                              membership::MembershipMessage{membership::Ping{3, false, {}, {}}}};
--- a/test/correctness/quotareports_test.cpp
+++ b/test/correctness/quotareports_test.cpp
@@ -1,7 +1,9 @@
 /** Reports on the quotas of organisations: what is charged, what is sent, and what malformed and forged reports do. */
+#include "fleet/fleetmessage.h"
 #include "limits/organisationquota.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <limits>
 
@@ -154,3 +156,46 @@
     quota.receive(now, peer, reportWith(3, {organisation, 0, 1050, 0, 1400, -20}));
     CHECK(quota.admit(now, organisation, {10, 10}).retryAfter > refused.retryAfter);
 }
+
+TEST_CASE("Quota reports of a full datagram survive the codec, and malformed ones are rejected or invalid")
+{
+    // Guards against datagrams above the path's size, and against numbers whose conversion is undefined.
+    fleet::QuotaReport report{1, 100000, true, {}};
+    for (std::uint64_t key = 0; key < 2 * maximumQuotaItems; ++key) {
+        report.items.push_back({~key, 90000, 100000, 1000, 200000, 12.5});
+    }
+    const auto decode = [](const nlohmann::json &payload) {
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({8, "i", 7, payload}), bytes);
+        return fleet::decodeDatagram(bytes);
+    };
+    const std::string bytes = fleet::encodeDatagram({{InstanceId{"i"}, 7}, report});
+    const auto decoded = fleet::decodeDatagram(bytes);
+    REQUIRE(decoded.has_value());
+    CHECK(std::get<fleet::QuotaReport>(decoded->message).items.size() == maximumQuotaItems);
+    CHECK(bytes.size() / 2 < 4096);
+    CHECK(!decode(nlohmann::json::array({1, 2, true})).has_value());
+    CHECK(!decode(nlohmann::json::array({1, 2, 3, nlohmann::json::array()})).has_value());
+    CHECK(!decode(nlohmann::json::array({1, 2, true, {1, 2, 3, 4, 5, "x"}})).has_value());
+    const auto huge = decode(nlohmann::json::array({1, 90000, true, {organisation, 1e300, 1e300, -1e300, 1e300, 1}}));
+    REQUIRE(huge.has_value());
+    OrganisationQuota quota = makeQuota();
+    CHECK(quota.receive(start, peer, std::get<fleet::QuotaReport>(huge->message)) == 1);
+    CHECK(quota.buckets() == 0);
+}
+
+TEST_CASE("Counters of many organisations are split into several reports")
+{
+    OrganisationQuota quota{start, 1, [](std::uint64_t) {
+                                return QuotaLimit{10, 10};
+                            }};
+    const TimePoint now = start + seconds{30};
+    for (std::uint64_t key = 0; key < maximumQuotaItems + 1; ++key) {
+        quota.admit(now, key, {10, 10});
+    }
+    const auto parts = quota.takeReport(now, 10);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].items.size() == maximumQuotaItems);
+    CHECK(parts[1].items.size() == 1);
+    CHECK(parts[1].sequence > parts[0].sequence);
+}
