--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -10,6 +10,7 @@
 #include "fleet/crashtracker.h"
 #include "fleet/storehistory.h"
 #include "fleet/upstreamcatalogue.h"
+#include "limits/quotareport.h"
 #include "membership/membershipmessage.h"
 
 #include <cstdint>
@@ -127,6 +128,9 @@
 void to_json(nlohmann::json &json, const UpstreamEntry &entry);
 void from_json(const nlohmann::json &json, UpstreamEntry &entry);
 
+/** Requests of organisations with a quota. At most limits::maximumQuotaItems items. */
+using QuotaReport = limits::QuotaReport;
+
 using FleetMessage = std::variant<LoadReport,
                                   UpstreamNotice,
                                   CrashNotice,
@@ -134,7 +138,8 @@
                                   UpstreamDelta,
                                   MisdirectedNotice,
                                   membership::MembershipMessage,
-                                  CrashReport>;
+                                  CrashReport,
+                                  QuotaReport>;
 
 /** A message with its sender. */
 struct FleetDatagram {
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -12,6 +12,7 @@
 #include "proxy/connectionpool.h"
 #include "proxy/crashdetector.h"
 #include "proxy/proxymetrics.h"
+#include "proxy/quotacontrol.h"
 #include "proxy/upstreamprotocol.h"
 #include "routing/routetable.h"
 #include "routing/trafficsplit.h"
@@ -37,6 +38,7 @@
     RandomSource random;
     ProxyMetrics metrics{};
     CrashDetector crashes;
+    QuotaControl quotas;
     double floorShare = 0; ///< share of the ready upstreams that always get requests
     std::shared_ptr<limits::MemoryAccount> memory = std::make_shared<limits::MemoryAccount>(); ///< of bodies, answers and input
     std::size_t maximumCallers = limits::DescriptorShares{}.callers; ///< connections from callers
