Attribute crashes to a request only if they followed one another

Cause: a request was refused after any two crashes of upstreams that ran it. Two upstreams that ended at about the same time while they ran a popular GET made all callers' requests for that path end with 502 for 20 s. Change: crash records carry the times of the attempts, as ages. Crashes count only if the attempt at the next upstream began after the connection to the former was lost. Records of the former version are accepted and count as before. A finding is broadcast twice, since a lost datagram let an instance run the request again. The caller's organisation, if known, is part of the fingerprint.

--- a/src/fleet/crashtracker.cpp
+++ b/src/fleet/crashtracker.cpp
@@ -12,6 +12,9 @@
 constexpr Duration removalWindow = std::chrono::seconds{8};
 /** Crashes are remembered this long, because callers keep retrying the request for a while. */
 constexpr Duration recordLifetime = std::chrono::minutes{5};
+/** Attempts that began earlier are not plausible in a record. A request may run for long before it crashes an upstream, and each
+ * further crash extends the life of the record. */
+constexpr Duration longestAge = std::chrono::hours{24};
 /** A request is refused for this long after the crash of maximumCrashes upstreams. */
 constexpr Duration initialRefusalTime = std::chrono::seconds{20};
 /** Share of the refusal time by which that of two instances may differ. */
@@ -27,9 +30,10 @@
 {
 }
 
-void CrashTracker::recordBrokenConnection(TimePoint now, std::uint64_t request, std::uint32_t upstream)
+void CrashTracker::recordBrokenConnection(TimePoint now, std::uint64_t request, std::uint32_t upstream, std::optional<TimePoint> begun)
 {
-    m_brokenConnections.emplace(upstream, BrokenConnection{now, request});
+    const KnownInterval attempt = begun ? KnownInterval{Interval{*begun, now}} : std::nullopt;
+    m_brokenConnections.emplace(upstream, BrokenConnection{now, request, attempt});
 }
 
 std::vector<std::uint64_t> CrashTracker::recordUnreachable(TimePoint now, std::uint32_t upstream)
@@ -52,7 +56,7 @@
             continue;
         }
         Suspect &suspect = m_suspects[entry->second.request];
-        if (suspect.upstreams.size() < maximumUpstreamsPerRecord && suspect.upstreams.insert(upstream).second) {
+        if (addCrash(suspect, upstream, entry->second.attempt)) {
             attributed.push_back(entry->second.request);
             onChange(now, suspect);
         }
@@ -64,6 +68,63 @@
     return attributed;
 }
 
+bool CrashTracker::addCrash(Suspect &suspect, std::uint32_t upstream, const KnownInterval &attempt)
+{
+    const auto known = suspect.upstreams.find(upstream);
+    if (known == suspect.upstreams.end()) {
+        const bool room = suspect.upstreams.size() < maximumUpstreamsPerRecord;
+        return room && suspect.upstreams.emplace(upstream, attempt).second;
+    }
+    // Times that come from other instances are late by the time of the message, so the earliest ones are closest to the truth.
+    KnownInterval &merged = known->second;
+    if (!merged) {
+        merged = attempt;
+    } else if (attempt) {
+        *merged = {std::min(merged->begun, attempt->begun), std::min(merged->lost, attempt->lost)};
+    }
+    return false;
+}
+
+std::size_t CrashTracker::countSuccessive(const std::map<std::uint32_t, KnownInterval> &upstreams)
+{
+    std::vector<Interval> attempts;
+    for (const auto &[upstream, attempt] : upstreams) {
+        if (attempt) {
+            attempts.push_back(*attempt);
+        }
+    }
+    const std::size_t unknown = upstreams.size() - attempts.size();
+    std::sort(attempts.begin(), attempts.end(), [](const Interval &first, const Interval &second) {
+        return first.lost < second.lost;
+    });
+    // Taking the attempt that was lost first, of those that may follow, makes the longest chain.
+    std::size_t chain = 0;
+    TimePoint lastLost{};
+    for (const Interval &attempt : attempts) {
+        if (chain == 0 || attempt.begun >= lastLost) {
+            ++chain;
+            lastLost = attempt.lost;
+        }
+    }
+    return unknown + chain;
+}
+
+bool CrashTracker::isConsistent(const CrashRecord &record)
+{
+    const bool complete = record.attempts.empty() || record.attempts.size() == record.upstreams.size();
+    return complete && std::all_of(record.attempts.begin(), record.attempts.end(), [](const auto &attempt) {
+               return !attempt || (attempt->lost >= Duration::zero() && attempt->begun >= attempt->lost && attempt->begun <= longestAge);
+           });
+}
+
+CrashTracker::KnownInterval CrashTracker::attemptOf(TimePoint now, const CrashRecord &record, std::size_t position)
+{
+    if (record.attempts.empty() || !record.attempts[position]) {
+        return std::nullopt;
+    }
+    return Interval{now - record.attempts[position]->begun, now - record.attempts[position]->lost};
+}
+
 Duration CrashTracker::refusalTime(std::size_t crashes) const
 {
     Duration time = initialRefusalTime;
@@ -76,8 +137,10 @@
 void CrashTracker::onChange(TimePoint at, Suspect &suspect) const
 {
     suspect.changed = std::max(suspect.changed, at);
-    const std::size_t crashes = suspect.upstreams.size();
-    suspect.refusedUntil = crashes < maximumCrashes ? TimePoint{} : suspect.changed + refusalTime(crashes);
+    suspect.successiveCrashes = countSuccessive(suspect.upstreams);
+    const bool refused = suspect.successiveCrashes >= maximumCrashes;
+    // All crashes count for the time: repeats that were sent at once crash several upstreams in one step of the chain.
+    suspect.refusedUntil = refused ? suspect.changed + refusalTime(suspect.upstreams.size()) : TimePoint{};
 }
 
 void CrashTracker::removeOldest()
@@ -106,7 +169,7 @@
 void CrashTracker::recordAttempt(TimePoint now, std::uint64_t request)
 {
     const auto found = m_suspects.find(request);
-    if (found != m_suspects.end() && found->second.upstreams.size() >= maximumCrashes) {
+    if (found != m_suspects.end() && found->second.successiveCrashes >= maximumCrashes) {
         found->second.refusedUntil = now + refusalTime(found->second.upstreams.size());
     }
 }
@@ -115,7 +178,7 @@
 {
     const auto known = m_suspects.find(record.request);
     const bool outdated = known != m_suspects.end() && record.clearances < known->second.clearances;
-    if (outdated || record.age < Duration::zero() || record.age > recordLifetime) {
+    if (outdated || record.age < Duration::zero() || record.age > recordLifetime || !isConsistent(record)) {
         return false;
     }
     Suspect &suspect = m_suspects[record.request];
@@ -124,11 +187,11 @@
         suspect.clearances = record.clearances;
         suspect.upstreams.clear();
     }
-    for (const std::uint32_t upstream : record.upstreams) {
-        if (suspect.upstreams.size() < maximumUpstreamsPerRecord) {
-            changed = suspect.upstreams.insert(upstream).second || changed;
-        }
+    for (std::size_t position = 0; position < record.upstreams.size(); ++position) {
+        changed = addCrash(suspect, record.upstreams[position], attemptOf(now, record, position)) || changed;
     }
+    // Better knowledge of the times can lengthen or shorten the chain.
+    changed = changed || countSuccessive(suspect.upstreams) != suspect.successiveCrashes;
     if (changed) {
         onChange(now - record.age, suspect);
     }
@@ -157,7 +220,21 @@
 
 CrashRecord CrashTracker::toRecord(TimePoint now, std::uint64_t request, const Suspect &suspect)
 {
-    return {request, suspect.clearances, now - suspect.changed, {suspect.upstreams.begin(), suspect.upstreams.end()}};
+    CrashRecord record{request, suspect.clearances, now - suspect.changed, {}};
+    bool anyKnown = false;
+    for (const auto &[upstream, attempt] : suspect.upstreams) {
+        record.upstreams.push_back(upstream);
+        std::optional<CrashedAttempt> ages;
+        if (attempt) {
+            ages = CrashedAttempt{now - attempt->begun, now - attempt->lost};
+        }
+        record.attempts.push_back(ages);
+        anyKnown = anyKnown || ages;
+    }
+    if (!anyKnown) {
+        record.attempts.clear(); // as earlier versions write it
+    }
+    return record;
 }
 
 CrashRecord CrashTracker::record(TimePoint now, std::uint64_t request) const
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -57,11 +57,24 @@
     return json::array({notice.request, notice.key});
 }
 
+json encodeAttempts(const std::vector<std::optional<CrashedAttempt>> &attempts)
+{
+    json out = json::array();
+    for (const std::optional<CrashedAttempt> &attempt : attempts) {
+        out.push_back(attempt ? json::array({attempt->begun.count(), attempt->lost.count()}) : json::array());
+    }
+    return out;
+}
+
 json encodePayload(const CrashReport &report)
 {
     json out = json::array();
     for (const CrashRecord &record : report.records) {
-        out.push_back(json::array({record.request, record.clearances, record.age.count(), record.upstreams}));
+        json fields = json::array({record.request, record.clearances, record.age.count(), record.upstreams});
+        if (!record.attempts.empty()) {
+            fields.push_back(encodeAttempts(record.attempts));
+        }
+        out.push_back(std::move(fields));
     }
     return out;
 }
@@ -159,6 +172,24 @@
     return delta;
 }
 
+/** Attempts of a crash record; records of earlier versions have none. */
+std::vector<std::optional<CrashedAttempt>> decodeAttempts(const json &record)
+{
+    constexpr std::size_t position = 4;
+    std::vector<std::optional<CrashedAttempt>> attempts;
+    if (record.size() <= position) {
+        return attempts;
+    }
+    for (const json &attempt : record.at(position).get_ref<const json::array_t &>()) {
+        std::optional<CrashedAttempt> ages;
+        if (!attempt.get_ref<const json::array_t &>().empty()) {
+            ages = CrashedAttempt{Duration{attempt.at(0).get<Duration::rep>()}, Duration{attempt.at(1).get<Duration::rep>()}};
+        }
+        attempts.push_back(ages);
+    }
+    return attempts;
+}
+
 CrashReport decodeCrashReport(const json &in)
 {
     CrashReport report;
@@ -166,7 +197,8 @@
         report.records.push_back({record.at(0).get<std::uint64_t>(),
                                   record.at(1).get<std::uint32_t>(),
                                   Duration{record.at(2).get<Duration::rep>()},
-                                  record.at(3).get<std::vector<std::uint32_t>>()});
+                                  record.at(3).get<std::vector<std::uint32_t>>(),
+                                  decodeAttempts(record)});
     }
     return report;
 }
--- a/src/fleet/requestfingerprint.h
+++ b/src/fleet/requestfingerprint.h
@@ -7,7 +7,7 @@
 
 namespace jackdawdoor::fleet {
 
-/** Hashes of host, method, body and target. A repeat may have another query, and a path may be shared by many requests that
+/** Hashes of organisation, host, method, body and target. A repeat may have another query, and a path may be shared by many requests that
  * differ only in their query, so both identities are kept. */
 struct RequestFingerprint {
     std::uint64_t exact = 0; ///< with the query
@@ -19,7 +19,11 @@
     bool operator==(const RequestFingerprint &) const = default;
 };
 
-/** Returns the fingerprint of a request. target: path and query. */
-RequestFingerprint fingerprintOf(std::string_view host, std::string_view method, std::string_view target, std::string_view body);
+/** Returns the fingerprint of a request. target: path and query. organisation: name of the caller's, or empty if unknown. */
+RequestFingerprint fingerprintOf(std::string_view host,
+                                 std::string_view method,
+                                 std::string_view target,
+                                 std::string_view body,
+                                 std::string_view organisation = {});
 
 } // namespace jackdawdoor::fleet
--- a/src/proxy/crashdetector.cpp
+++ b/src/proxy/crashdetector.cpp
@@ -18,8 +18,8 @@
 /** Interval at which the latest findings are sent to a random instance. A new instance gets them from the others, each of which
  * chooses it once in as many intervals as there are instances, so about twice in a second. */
 constexpr Duration repeatPeriod = std::chrono::milliseconds{500};
-/** Findings in one message, at about 30 bytes each. */
-constexpr std::size_t maximumSharedRecords = 40;
+/** Findings in one message, at about 42 bytes each with one crash, so that a message fits a packet. */
+constexpr std::size_t maximumSharedRecords = 28;
 constexpr std::size_t maximumRepeatedRecords = 16;
 
 } // namespace
@@ -61,11 +61,15 @@
     }
 }
 
-void CrashDetector::onUnanswered(TimePoint now, const fleet::RequestFingerprint &request, const fleet::UpstreamEntry &upstream, bool listed)
+void CrashDetector::onUnanswered(TimePoint now,
+                                 const fleet::RequestFingerprint &request,
+                                 const fleet::UpstreamEntry &upstream,
+                                 bool listed,
+                                 TimePoint begun)
 {
     const std::uint32_t key = fleet::upstreamKey(upstream.id, upstream.incarnation);
     for (const std::uint64_t identity : request.identities()) {
-        m_tracker.recordBrokenConnection(now, identity, key);
+        m_tracker.recordBrokenConnection(now, identity, key, begun);
     }
     if (listed) {
         m_checks.start(now, upstream);
@@ -147,12 +151,36 @@
         return;
     }
     m_pacer.recordSent(now);
-    m_hooks.broadcast(fleet::CrashReport{takeUnshared(now)});
+    const fleet::CrashReport report{takeUnshared(now)};
+    scheduleRepeats(report.records);
+    m_hooks.broadcast(report);
+}
+
+void CrashDetector::scheduleRepeats(const std::vector<fleet::CrashRecord> &records)
+{
+    // With more findings than fit one message, for example when a whole service ends, repeats would delay new ones.
+    const bool few = m_unshared.empty();
+    for (const fleet::CrashRecord &record : records) {
+        if (m_repeated.erase(record.request) == 0 && few) {
+            m_repeats.insert(record.request);
+        }
+    }
+}
+
+void CrashDetector::startRepeats()
+{
+    for (const std::uint64_t request : m_repeats) {
+        if (m_unshared.insert(request).second) {
+            m_repeated.insert(request);
+        }
+    }
+    m_repeats.clear();
 }
 
 void CrashDetector::tick(TimePoint now, std::size_t instances)
 {
     m_pacer.setReceivers(instances);
+    startRepeats();
     share(now);
     if (now < m_nextRepeat) {
         return;
--- a/src/proxy/crashdetector.h
+++ b/src/proxy/crashdetector.h
@@ -1,8 +1,8 @@
 /** Finds requests that crash upstreams, together with the other instances.
  *
- * Supplies fleet::CrashTracker, which decides, with evidence, and exchanges its records: a new record is broadcast, and the
- * latest ones are sent to a random instance periodically, for instances that have started, were cut off or paused, or missed
- * a datagram.
+ * Supplies fleet::CrashTracker, which decides, with evidence, and exchanges its records: a new record is broadcast twice, since a datagram
+ * may be lost, and the latest ones are sent to a random instance periodically, for instances that have started, were cut off or paused, or
+ * missed a datagram.
  */
 #pragma once
 
@@ -44,8 +44,13 @@
     /** An attempt of the request begins. */
     void onAttempt(TimePoint now, const fleet::RequestFingerprint &request);
 
-    /** The upstream left the request without an answer. Checks whether its process has ended. listed: its entry is still there. */
-    void onUnanswered(TimePoint now, const fleet::RequestFingerprint &request, const fleet::UpstreamEntry &upstream, bool listed);
+    /** The upstream left the request without an answer. Checks whether its process has ended. listed: its entry is still there.
+     * begun: when the attempt began. */
+    void onUnanswered(TimePoint now,
+                      const fleet::RequestFingerprint &request,
+                      const fleet::UpstreamEntry &upstream,
+                      bool listed,
+                      TimePoint begun);
 
     /** An upstream answered the request completely. */
     void onAnswer(TimePoint now, const fleet::RequestFingerprint &request);
@@ -65,6 +70,8 @@
 private:
     void attribute(TimePoint now, const std::vector<std::uint64_t> &requests, std::uint32_t upstream);
     void share(TimePoint now);
+    void scheduleRepeats(const std::vector<fleet::CrashRecord> &records);
+    void startRepeats();
     std::vector<fleet::CrashRecord> takeUnshared(TimePoint now);
 
     RandomSource &m_random;
@@ -73,7 +80,9 @@
     fleet::CrashTracker m_tracker;
     ConnectionChecks m_checks;
     fleet::MessagePacer m_pacer;
-    std::set<std::uint64_t> m_unshared; ///< requests with a new finding
+    std::set<std::uint64_t> m_unshared; ///< requests with a finding to broadcast
+    std::set<std::uint64_t> m_repeats; ///< requests whose finding is broadcast once more with the next periodic work
+    std::set<std::uint64_t> m_repeated; ///< those in m_unshared for the second time
     TimePoint m_nextRepeat{};
 };
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -105,7 +105,7 @@
         route().latencyObjective > Duration::zero() ? route().latencyObjective / capacityWaitDivisor : defaultCapacityWait;
     m_capacityDeadline = m_request.received + capacityWait;
     m_service = m_context.split.next(route());
-    m_fingerprint = fleet::fingerprintOf(host, m_request.head.method, target, m_request.body);
+    m_fingerprint = fleet::fingerprintOf(host, m_request.head.method, target, m_request.body, callerIdentity().organisation);
     if (m_context.stopping) {
         refuse(now, "stopping");
         return;
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -55,7 +55,7 @@
     const bool timedOut = outcome == fleet::AttemptOutcome::TimedOut && attempt.mayHaveRun();
     if (attempt.result().connectionLost || timedOut) {
         const bool listed = m_context.upstreams.find(upstream.id, upstream.incarnation) != nullptr;
-        m_context.crashes.onUnanswered(now, m_fingerprint, upstream, listed);
+        m_context.crashes.onUnanswered(now, m_fingerprint, upstream, listed, now - attempt.age(now));
     } else if (outcome == fleet::AttemptOutcome::Unreachable) {
         m_context.crashes.onUnreachable(now, fleet::upstreamKey(upstream.id, upstream.incarnation));
     } else if (outcome == fleet::AttemptOutcome::Answered || end == routing::AttemptEnd::FailureAnswer) {
