--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -134,6 +134,7 @@
     m_onIdleEnd = {};
     m_parser.expectNoBody(headRequest);
     if (m_connected) {
+        pauseReading(false); // the previous answer may have ended while reading was paused
         write(bytes, body);
         return;
     }
--- a/test/error/outboundconnection_test.cpp
+++ b/test/error/outboundconnection_test.cpp
@@ -106,3 +106,45 @@
     CHECK_MESSAGE((limit > std::chrono::hours{23} && limit <= std::chrono::hours{24}), "idle limit of " << toSeconds(limit) << " s");
     loop.stop();
 }
+
+// Guards against a request without an answer: reading was paused with the last bytes of an answer, and the connection was used
+// again without being read.
+TEST_CASE("a connection whose reading was paused at the end of an answer is read again for the next request")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        return ScriptedReply{ScriptedUpstream::answerTo(request, 200, "x"), false, false, false, {}};
+    });
+    net::EventLoop loop;
+    std::unique_ptr<proxy::OutboundConnection> connection;
+    std::atomic<int> completed{0};
+    loop.start();
+    const auto sendOne = [&] {
+        proxy::OutboundConnectionHooks hooks;
+        hooks.onBody = [&](std::string_view) {
+            connection->pauseReading(true);
+        };
+        hooks.onComplete = [&] {
+            ++completed;
+        };
+        connection->send("GET / HTTP/1.1\r\nX-Jackdawdoor-Request-Id: id\r\n\r\n", "id", false, std::move(hooks));
+    };
+    const auto waitFor = [&](int count) {
+        for (int round = 0; round < 300 && completed < count; ++round) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+    };
+    loop.call([&] {
+        connection = std::make_unique<proxy::OutboundConnection>(
+            loop, settings::parseEndpoint(upstream.address()).value(), "X-Jackdawdoor-Request-Id");
+        sendOne();
+    });
+    waitFor(1);
+    REQUIRE(completed == 1);
+    loop.call(sendOne);
+    waitFor(2);
+    CHECK_MESSAGE(completed == 2, "the second request got no answer");
+    loop.call([&] {
+        connection.reset();
+    });
+    loop.stop();
+}
