--- a/src/fleet/requestfingerprint.h
+++ b/src/fleet/requestfingerprint.h
@@ -19,15 +19,19 @@
     bool operator==(const RequestFingerprint &) const = default;
 };
 
-/** Returns the fingerprint of a request. target: path and query. organisation: name of the caller's, or empty if unknown. */
+/** Returns the fingerprint of a request. target: path and query. bodyBlocks: the body in consecutive parts. organisation: name of
+ * the caller's, or empty if unknown. */
 RequestFingerprint fingerprintOf(std::string_view host,
                                  std::string_view method,
                                  std::string_view target,
-                                 std::string_view body,
+                                 const std::vector<std::string_view> &bodyBlocks,
                                  std::string_view organisation = {});
 
-/** The same for a body that is held in several blocks. */
-RequestFingerprint
-fingerprintOf(std::string_view host, std::string_view method, std::string_view target, const std::vector<std::string_view> &bodyBlocks);
+/** The same for a body in one block. */
+RequestFingerprint fingerprintOf(std::string_view host,
+                                 std::string_view method,
+                                 std::string_view target,
+                                 std::string_view body,
+                                 std::string_view organisation = {});
 
 } // namespace jackdawdoor::fleet
