--- a/src/fleet/catalogueorder.h
+++ b/src/fleet/catalogueorder.h
@@ -20,7 +20,7 @@
     std::int64_t incarnation = 0;
     std::int64_t sequence = 0;
 
-    auto operator<=>(const ReportNumber &) const = default;
+    auto operator<=>(const ReportNumber &) const = default; // NOLINT(modernize-use-nullptr): false positive in generated code
 };
 
 /** What a record, or a message about it, states of one upstream. */
