--- a/src/limits/memorypressure.cpp
+++ b/src/limits/memorypressure.cpp
@@ -75,7 +75,8 @@
     }
     // Requests that are being received are refused before those that run are ended.
     freed = endWhile(steps, holders, MemoryRelief::Refuse, freed, need.overdraft, [&](const MemoryHolder &holder) {
-        return holder.waitingSince && (refused == holders.end() || holder.id != refused->id);
+        return holder.phase == MemoryPhase::Receiving && (refused == holders.end() || holder.id != refused->id)
+               && !stopped(holder, MemoryPhase::Receiving);
     });
     endWhile(steps, holders, MemoryRelief::AbortRunning, freed, need.overdraft, [](const MemoryHolder &holder) {
         return holder.phase == MemoryPhase::Running;
--- a/src/limits/memorypressure.h
+++ b/src/limits/memorypressure.h
@@ -64,7 +64,8 @@
 
 /** Returns the requests to end now, so that the needed bytes become free: first those whose body has stopped and then those
  * whose answer is not read, the longest first; then the newest one that has waited too long, one per call, since the others
- * may do with its memory. Requests that run are ended only for an overdraft, the newest first. */
+ * may do with its memory. For an overdraft, requests that are being received are refused, and only then those that run are
+ * ended, the newest first. */
 std::vector<MemoryReliefStep> relieveMemory(TimePoint now, const MemoryNeed &need, std::vector<MemoryHolder> holders);
 
 } // namespace jackdawdoor::limits
--- a/src/proxy/body.cpp
+++ b/src/proxy/body.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t maximumBlockBytes = std::size_t{256} * 1024;
 /** First block of a body whose length is unknown; each further one is as large as the body so far. */
 constexpr std::size_t minimumBlockBytes = std::size_t{4} * 1024;
+/** First block of a body with a known length. Larger ones would let callers reserve much memory by announcing large bodies. */
+constexpr std::size_t minimumAnnouncedBytes = std::size_t{16} * 1024;
 /** Blocks of this size are mapped. Smaller ones are reused by the allocator, which is cheaper. */
 constexpr std::size_t minimumMappedBytes = std::size_t{128} * 1024;
 /** Bodies up to this size are copied into the buffer of a connection, behind the head. */
@@ -94,7 +96,7 @@
 std::size_t Body::nextCapacity(std::size_t size, std::size_t bytes) const
 {
     if (m_expected > size) {
-        return std::min(m_expected - size, maximumBlockBytes);
+        return std::min(m_expected - size, std::clamp(size, minimumAnnouncedBytes, maximumBlockBytes));
     }
     return std::clamp(std::max(size, bytes), minimumBlockBytes, maximumBlockBytes);
 }
--- a/test/correctness/memoryaccount_test.cpp
+++ b/test/correctness/memoryaccount_test.cpp
@@ -121,6 +121,9 @@
     const std::vector<MemoryReliefStep> both{{3, MemoryRelief::Refuse}, {2, MemoryRelief::AbortRunning}};
     CHECK(limits::relieveMemory(at(10), {0, megabyte + 1}, holders) == both);
     CHECK(limits::relieveMemory(at(10), {megabyte, 0}, holders).empty());
+    const std::vector<MemoryHolder> receiving{holder(1, MemoryPhase::Running, 9, 9), holder(2, MemoryPhase::Receiving, 8, 9.9)};
+    const std::vector<MemoryReliefStep> received{{2, MemoryRelief::Refuse}};
+    CHECK_MESSAGE(limits::relieveMemory(at(10), {0, megabyte}, receiving) == received, "a request that runs was ended first");
 }
 
 // Guards against callers that use up the descriptors that upstreams and the process itself need.
@@ -128,7 +131,7 @@
 {
     const limits::DescriptorShares shares = limits::descriptorSharesFor(4100);
     CHECK(shares == limits::DescriptorShares{});
-    CHECK(2 * shares.callers + shares.idleUpstreams + 195 <= 3900);
+    CHECK(2 * shares.callers + shares.idleUpstreams + shares.directory + 3 * shares.service <= 3800);
     CHECK(limits::descriptorSharesFor(100).callers > 0);
 }
 
