--- a/src/limits/callershare.h
+++ b/src/limits/callershare.h
@@ -14,8 +14,6 @@
 struct DescriptorShares {
     std::size_t callers = 1326; ///< connections from callers
     std::size_t idleUpstreams = 390; ///< idle connections to upstreams; those in use need at most about as many as callers
-    std::size_t directory = 468; ///< connections to the directory
-    std::size_t service = 78; ///< connections each for readiness, metrics and other instances
 
     bool operator==(const DescriptorShares &) const = default;
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,10 +2,8 @@
 
 #include "net/socketaddress.h"
 
-#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/listener.h>
 
 namespace jackdawdoor::net {
 
@@ -30,7 +28,6 @@
 
 HttpServer::~HttpServer()
 {
-    m_connections->listener = nullptr;
     evhttp_free(m_server);
 }
 
@@ -40,37 +37,9 @@
     if (bound == nullptr) {
         return Error{"listen", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
     }
-    m_connections->listener = evhttp_bound_socket_get_listener(bound);
     return settings::Endpoint{endpoint.host, boundPort(evhttp_bound_socket_get_fd(bound))};
 }
 
-void HttpServer::limitConnections(std::size_t connections)
-{
-    m_connections->maximum = connections;
-    evhttp_set_bevcb(m_server, &HttpServer::onAccept, this);
-}
-
-bufferevent *HttpServer::onAccept(event_base *base, void *server)
-{
-    const std::shared_ptr<Connections> &connections = static_cast<HttpServer *>(server)->m_connections;
-    if (++connections->open >= connections->maximum && connections->listener != nullptr) {
-        evconnlistener_disable(connections->listener);
-    }
-    // evhttp tells only of connections with a complete request. A filter that changes nothing tells when it is freed.
-    bufferevent *socket = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    return bufferevent_filter_new(
-        socket, nullptr, nullptr, BEV_OPT_CLOSE_ON_FREE, &HttpServer::onClosed, new std::shared_ptr<Connections>(connections));
-}
-
-void HttpServer::onClosed(void *connections)
-{
-    const std::unique_ptr<std::shared_ptr<Connections>> owned(static_cast<std::shared_ptr<Connections> *>(connections));
-    Connections &counted = **owned;
-    if (--counted.open < counted.maximum && counted.listener != nullptr) {
-        evconnlistener_enable(counted.listener);
-    }
-}
-
 const ServerLimits &HttpServer::limits() const
 {
     return m_limits;
--- a/src/platform/platformserver.cpp
+++ b/src/platform/platformserver.cpp
@@ -34,9 +34,6 @@
 
 Result<bool> PlatformServer::listen(const proxy::ProxySettings &settings)
 {
-    const limits::DescriptorShares shares = limits::descriptorSharesFor(settings.maximumDescriptors);
-    m_directory.limitConnections(shares.directory);
-    m_readiness.limitConnections(shares.service);
     const auto directory = m_directory.listen(settings.directory);
     if (!directory.has_value()) {
         return directory.error();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -118,9 +118,6 @@
     m_metricsServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
         handleMetricsRequest(request);
     });
-    const std::size_t connections = limits::descriptorSharesFor(m_settings.maximumDescriptors).service;
-    m_peerServer->limitConnections(connections);
-    m_metricsServer->limitConnections(connections);
     const Result<settings::Endpoint> listening[] = {m_datagrams.bind(m_settings.peers),
                                                     m_peerServer->listen(m_settings.peers),
                                                     m_metricsServer->listen(m_settings.metrics),
