--- a/src/limits/callershare.cpp
+++ b/src/limits/callershare.cpp
@@ -8,8 +8,8 @@
 
 /** Descriptors that the platform reserves for files. */
 constexpr std::size_t fileReserve = 200;
-constexpr double callersShare = 0.4;
-constexpr double idleUpstreamsShare = 0.15;
+constexpr double callersShare = 0.34;
+constexpr double idleUpstreamsShare = 0.1;
 /** A process with too few descriptors still serves some callers. */
 constexpr std::size_t minimumCallers = 16;
 constexpr std::size_t minimumIdleUpstreams = 8;
--- a/src/limits/callershare.h
+++ b/src/limits/callershare.h
@@ -12,8 +12,8 @@
 
 /** Descriptors of a process by use. */
 struct DescriptorShares {
-    std::size_t callers = 1560; ///< connections from callers
-    std::size_t idleUpstreams = 585; ///< idle connections to upstreams; those in use need at most about as many as callers
+    std::size_t callers = 1326; ///< connections from callers
+    std::size_t idleUpstreams = 390; ///< idle connections to upstreams; those in use need at most about as many as callers
 
     bool operator==(const DescriptorShares &) const = default;
 };
