Charge what an instance admitted while it was cut off only once for the time of detection

Cause: the first report after a cut may have no items; the next one was then charged whole, a debt of the whole cut. Test: the case of two halves now compares admissions after the cut with the demand.

--- a/src/limits/organisationquota.cpp
+++ b/src/limits/organisationquota.cpp
@@ -122,7 +122,10 @@
         peer.incarnation = from.incarnation;
         peer.heard = now;
     }
-    const Duration silence = now - peer.heard;
+    if (now - peer.heard > std::max(minimumVisibleTime, visiblePeriods * m_period)) {
+        peer.returned = now;
+        peer.silence = now - peer.heard;
+    }
     peer.heard = now;
     m_lastHeard = now;
     if (report.sequence > peer.sequence) {
@@ -131,12 +134,12 @@
     }
     int invalid = 0;
     for (const QuotaItem &item : report.items) {
-        invalid += apply(now, peer, report, item, silence) ? 0 : 1;
+        invalid += apply(now, peer, report, item) ? 0 : 1;
     }
     return invalid;
 }
 
-bool OrganisationQuota::apply(TimePoint now, Peer &peer, const QuotaReport &report, const QuotaItem &item, Duration silence)
+bool OrganisationQuota::apply(TimePoint now, Peer &peer, const QuotaReport &report, const QuotaItem &item)
 {
     const QuotaLimit limit = m_limitOf(item.key);
     if (!wellFormed(item, report) || !(limit.requestsPerSecond > 0)) {
@@ -163,7 +166,9 @@
     }
     // While the instance was not heard from, its part of the quota was not used here, except at the beginning.
     const Duration visible = std::max(minimumVisibleTime, visiblePeriods * m_period);
-    const double part = silence > visible ? toSeconds(visible) / toSeconds(silence) : 1.0;
+    // The first report after the silence may lack this item.
+    const bool silent = continues && known->second.at < peer.returned;
+    const double part = silent ? std::min(1.0, toSeconds(visible) / toSeconds(peer.silence)) : 1.0;
     bucket->charge(now, admitted * part, asked * part);
     bucket->approach(item.balance);
     peer.counters[item.key] = {item, report.sequence, now};
--- a/src/limits/organisationquota.h
+++ b/src/limits/organisationquota.h
@@ -99,12 +99,14 @@
         Incarnation incarnation = 0;
         bool active = true;
         TimePoint heard{};
+        TimePoint returned{}; ///< end of its last silence that looked like a cut
+        Duration silence{}; ///< length of that silence
         std::int64_t sequence = 0;
         absl::flat_hash_map<std::uint64_t, PeerCounter> counters;
     };
 
     QuotaBucket *bucketFor(TimePoint now, std::uint64_t key, const QuotaLimit &limit);
-    bool apply(TimePoint now, Peer &peer, const QuotaReport &report, const QuotaItem &item, Duration silence);
+    bool apply(TimePoint now, Peer &peer, const QuotaReport &report, const QuotaItem &item);
     std::vector<QuotaReport> reportOf(TimePoint now, const std::vector<QuotaItem> &items, bool active);
     std::vector<QuotaItem> changedItems(TimePoint now);
     std::vector<QuotaItem> takeUrgentItems(TimePoint now);
--- a/test/correctness/organisationquota_test.cpp
+++ b/test/correctness/organisationquota_test.cpp
@@ -7,6 +7,7 @@
 using namespace jackdawdoor::limits;
 using jackdawdoor::test::QuotaDemand;
 using jackdawdoor::test::QuotaFleet;
+using jackdawdoor::test::QuotaStep;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -108,13 +109,14 @@
             split = false;
             fleet.play(seconds{10}, {demand});
             const double cutPart = fleet.admittedPart(organisation, seconds{7}, seconds{14});
-            const double after =
-                fleet.total(organisation, seconds{16}, seconds{24}).admitted / (usualLimit.requestsPerSecond * std::min(1.0, factor) * 8);
+            const QuotaStep healed = fleet.total(organisation, seconds{16}, seconds{24});
+            const double possible = factor > 1 ? usualLimit.requestsPerSecond * 8 : healed.asked;
+            const double after = healed.admitted / possible;
             MESSAGE("demand " << factor << " of the quota at " << instances.size() << " instances: worst window "
                               << fleet.worstWindow(organisation, usualLimit) << ", admitted while halves are cut " << cutPart
                               << ", used afterwards " << after);
             CHECK(fleet.worstWindow(organisation, usualLimit) <= 1.0);
-            CHECK(after >= 0.9);
+            CHECK(after >= (factor > 1 ? 0.9 : 0.99));
         }
     }
 }
