Let instances that hear from neither the store nor a reader learn from their peers

Change: an instance without a configuration, or with a copy older than 2.6 s, sends its notice to a random instance every 0.5 s; one whose copy is newer answers with its own, which makes the first fetch the state. Versions only go forward as before. Test: the new case of proxyfleet_test failed before (no configuration, no upstream, not served) and passes.

--- a/src/fleet/storereaderelection.h
+++ b/src/fleet/storereaderelection.h
@@ -16,6 +16,8 @@
 constexpr Duration readPeriod = std::chrono::milliseconds{400};
 /** An instance with an older copy reads the store itself. Tolerates two missed reads or their notices. */
 constexpr Duration maximumStaleness = std::chrono::milliseconds{1300};
+/** An instance with an older copy has found neither the store nor a reader, and asks the other instances for theirs. */
+constexpr Duration isolatedStaleness = 2 * maximumStaleness;
 
 /** Decides when one instance reads the store. */
 class StoreReaderElection
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -74,6 +74,7 @@
     void sendNotices(TimePoint now);
     void broadcastToOthers(const fleet::FleetMessage &message);
     void sendInDataCentre(const fleet::FleetMessage &message);
+    void answerNotice(TimePoint now, const InstanceRef &from, const fleet::StoreNotice &notice);
     void shareDelta(const fleet::UpstreamDelta &delta);
     void sendMembership(const membership::MembershipMessages &messages);
     void receive(std::string_view bytes);
@@ -107,6 +108,7 @@
     TimePoint m_nextReport{};
     TimePoint m_nextBroadcast{};
     TimePoint m_nextNotice{};
+    TimePoint m_nextNoticeAnswer{};
     TimePoint m_nextPrune{};
     TimePoint m_nextRegistration{};
     TimePoint m_nextInstanceList{};
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -25,6 +25,10 @@
 constexpr Duration recentRequestsWindow = std::chrono::seconds{2};
 constexpr double minimumServingRequests = 4;
 constexpr Duration noticePeriod = std::chrono::milliseconds{250};
+/** Interval at which an instance without a current copy asks a random other one. */
+constexpr Duration peerNoticePeriod = std::chrono::milliseconds{500};
+/** Two instances of which each knows something newer would answer each other until both have fetched it. */
+constexpr Duration noticeAnswerPeriod = std::chrono::milliseconds{20};
 
 Duration broadcastPeriod(std::size_t instances)
 {
@@ -56,6 +60,18 @@
     if (now >= m_nextNotice && m_storeReplica->readsStore(now)) {
         m_nextNotice = now + noticePeriod;
         sendInDataCentre(m_storeReplica->notice(now));
+    } else if (now >= m_nextNotice && m_storeReplica->needsPeers(now)) {
+        m_nextNotice = now + peerNoticePeriod;
+        sendToRandom(m_storeReplica->notice(now));
+    }
+}
+
+/** Answers an instance that asks for a newer copy of the store's contents, but not more often than it can fetch them. */
+void Gateway::answerNotice(TimePoint now, const InstanceRef &from, const fleet::StoreNotice &notice)
+{
+    if (now >= m_nextNoticeAnswer && m_storeReplica->canHelp(now, notice)) {
+        m_nextNoticeAnswer = now + noticeAnswerPeriod;
+        send(from, m_storeReplica->notice(now));
     }
 }
 
@@ -220,6 +236,7 @@
         if (address.has_value()) {
             m_storeReplica->onNotice(now, *notice, address.value());
         }
+        answerNotice(now, datagram.from, *notice);
     } else if (const auto *delta = std::get_if<fleet::UpstreamDelta>(&datagram.message)) {
         m_storeReplica->applyDelta(*delta);
     } else if (const auto *membership = std::get_if<membership::MembershipMessage>(&datagram.message)) {
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -52,6 +52,13 @@
     /** Notice of the state of this replica, for the other instances. */
     fleet::StoreNotice notice(TimePoint now) const;
 
+    /** True when this instance has no configuration, or hears neither from the store nor from a reader, so that its notices ask other
+     * instances for what they know. */
+    bool needsPeers(TimePoint now) const;
+
+    /** True when a notice comes from an instance that needs peers, and this replica is newer than the sender's. */
+    bool canHelp(TimePoint now, const fleet::StoreNotice &notice) const;
+
     /** True when this instance read the store itself recently, so that its notices are current. */
     bool readsStore(TimePoint now) const;
 
--- a/src/proxy/storereplicapeers.cpp
+++ b/src/proxy/storereplicapeers.cpp
@@ -18,6 +18,9 @@
 /** How long an exported state is cached. The replica age that it contains is off by at most this. */
 constexpr Duration exportLifetime = std::chrono::milliseconds{200};
 
+/** Replicas of about the same age do not exchange their catalogues while the store is away. */
+constexpr Duration minimumAgeDifference = std::chrono::seconds{1};
+
 /** Removes unusable entries that came from another instance. */
 std::vector<fleet::UpstreamEntry> usableEntries(std::vector<fleet::UpstreamEntry> entries)
 {
@@ -67,6 +70,19 @@
     }
 }
 
+bool StoreReplica::needsPeers(TimePoint now) const
+{
+    return !ready() || age(now) > fleet::isolatedStaleness;
+}
+
+bool StoreReplica::canHelp(TimePoint now, const fleet::StoreNotice &notice) const
+{
+    const bool asks = notice.configurationVersion == 0 || notice.age > fleet::isolatedStaleness;
+    const bool newerConfiguration = m_table && m_table->version() > notice.configurationVersion;
+    const bool newerUpstreams = notice.catalogue != m_fingerprint && age(now) + minimumAgeDifference < notice.age;
+    return asks && (newerConfiguration || newerUpstreams);
+}
+
 void StoreReplica::fetchState(const settings::Endpoint &from)
 {
     m_fetching = true;
--- a/test/correctness/proxyfleet_test.cpp
+++ b/test/correctness/proxyfleet_test.cpp
@@ -211,6 +211,29 @@
     CHECK_MESSAGE(first.waitForInstances(1, discoveryTimeout), "the directory of the first instance lacks the second one");
 }
 
+// Guards against an instance that answers 503 until the store is back: only instances that read the store told what they know.
+TEST_CASE("an instance that starts while the store is away serves with the configuration and upstreams of its peers")
+{
+    ScriptedUpstream upstream([](const ReceivedRequest &request) {
+        return ScriptedReply{ScriptedUpstream::answerTo(request, 200, "body"), false, false, false, {}};
+    });
+    PlatformStore store;
+    standins::putConfiguration(store, 1);
+    standins::putUpstream(store, "u1", upstream.address(), 1);
+    ProxyInstance first(store, {"edge-1", {}, 0});
+    REQUIRE(first.waitForVersion(1));
+    REQUIRE(first.waitForUpstreams(1));
+    store.setFault(StoreFault::Silent);
+    // By then the first instance no longer counts as one that reads the store.
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    ProxyInstance second(store, {"edge-2", {first.peers()}, 0});
+    CHECK_MESSAGE(second.waitForVersion(1), "the second instance has no configuration");
+    CHECK_MESSAGE(second.waitForUpstreams(1), "the second instance does not know the upstream");
+    RawClient client(second.callersPort());
+    client.send(callerRequest("GET", "/safe/a", "id-1"));
+    CHECK_MESSAGE(client.receiveAnswer().starts_with("HTTP/1.1 200"), "the second instance does not serve");
+}
+
 // Guards against an instance that remains unknown after a restart: its clock had been set back, so its new incarnation was
 // lower than the previous one.
 TEST_CASE("an instance that restarts with its clock set back is found again")
