Report quotas among the instances that callers use, not to the whole fleet

Cause: the operator's checks reach every instance with an API key, so every instance counted as one that admits requests and sent a sign of life to all others each 100 ms, 100,000 datagrams a second in a fleet of 101. All to all remains up to 16 instances.

--- a/src/limits/organisationquota.cpp
+++ b/src/limits/organisationquota.cpp
@@ -122,7 +122,7 @@
         peer.incarnation = from.incarnation;
         peer.heard = now;
     }
-    if (now - peer.heard > std::max(minimumVisibleTime, visiblePeriods * m_period)) {
+    if (now - peer.heard > visibleTime()) {
         peer.returned = now;
         peer.silence = now - peer.heard;
     }
@@ -165,7 +165,7 @@
         return true;
     }
     // While the instance was not heard from, its part of the quota was not used here, except at the beginning.
-    const Duration visible = std::max(minimumVisibleTime, visiblePeriods * m_period);
+    const Duration visible = visibleTime();
     // The first report after the silence may lack this item.
     const bool silent = continues && known->second.at < peer.returned;
     const double part = silent ? std::min(1.0, toSeconds(visible) / toSeconds(peer.silence)) : 1.0;
@@ -175,6 +175,18 @@
     return true;
 }
 
+void OrganisationQuota::setServing(bool serving)
+{
+    m_serving = serving;
+}
+
+/** An instance that is silent for longer counts as cut off. */
+Duration OrganisationQuota::visibleTime() const
+{
+    // Without callers this instance gets only the full reports of the others.
+    return m_serving ? std::max(minimumVisibleTime, visiblePeriods * m_period) : visiblePeriods * fullQuotaPeriod;
+}
+
 void OrganisationQuota::forget(const InstanceId &instance)
 {
     const auto found = m_peers.find(instance);
@@ -192,6 +204,9 @@
 {
     m_period = std::max(minimumQuotaPeriod, fromSeconds(static_cast<double>(receivers) / maximumQuotaDatagramsPerSecond));
     const Duration sinceLast = now - m_lastReport;
+    if (!m_serving) {
+        return sinceLast < fullQuotaPeriod ? DueReports{} : takeQuietReport(now);
+    }
     if (!active(now) || sinceLast < m_period || (m_urgent.empty() && sinceLast < calmQuotaPeriod)) {
         return {};
     }
@@ -202,6 +217,18 @@
     return {reportOf(now, full ? changedItems(now) : urgent, true), full};
 }
 
+/** Returns the requests that an instance without callers has had. */
+DueReports OrganisationQuota::takeQuietReport(TimePoint now)
+{
+    m_urgent.clear();
+    const std::vector<QuotaItem> items = changedItems(now);
+    if (items.empty()) {
+        return {};
+    }
+    m_lastReport = now;
+    return {reportOf(now, items, false), false};
+}
+
 std::vector<QuotaItem> OrganisationQuota::takeUrgentItems(TimePoint now)
 {
     std::sort(m_urgent.begin(), m_urgent.end());
@@ -269,13 +296,13 @@
         return m_share;
     }
     m_shareAt = now;
-    const Duration visibleTime = std::max(minimumVisibleTime, visiblePeriods * m_period);
+    const Duration longestSilence = visibleTime();
     double known = 1;
     double visible = 1;
     for (const auto &[id, peer] : m_peers) {
         const Duration silence = now - peer.heard;
         known += peer.active && silence <= knownTime ? 1 : 0;
-        visible += peer.active && silence <= visibleTime ? 1 : 0;
+        visible += peer.active && silence <= longestSilence ? 1 : 0;
     }
     m_share = visible / known;
     return m_share;
--- a/src/limits/organisationquota.h
+++ b/src/limits/organisationquota.h
@@ -62,6 +62,10 @@
     /** Applies a report of another instance. Returns the number of items that are invalid; they change nothing. */
     int receive(TimePoint now, const InstanceRef &from, const QuotaReport &report);
 
+    /** Sets whether callers use this instance. If not, it reports only requests that it has had all the same, such as checks by the
+     * operator, and sends no signs of life: with all instances of a fleet doing so, these would cost more than the requests. */
+    void setServing(bool serving);
+
     /** The instance has left in a planned way, so its absence says nothing about the links. */
     void forget(const InstanceId &instance);
 
@@ -110,7 +114,9 @@
     std::vector<QuotaReport> reportOf(TimePoint now, const std::vector<QuotaItem> &items, bool active);
     std::vector<QuotaItem> changedItems(TimePoint now);
     std::vector<QuotaItem> takeUrgentItems(TimePoint now);
+    DueReports takeQuietReport(TimePoint now);
     std::int64_t uptime(TimePoint now) const;
+    Duration visibleTime() const;
 
     TimePoint m_start;
     RandomSource m_random;
@@ -126,6 +132,7 @@
     TimePoint m_shareAt{};
     double m_share = 1;
     std::int64_t m_sequence = 0;
+    bool m_serving = true;
 };
 
 } // namespace jackdawdoor::limits
--- a/src/proxy/quotacontrol.cpp
+++ b/src/proxy/quotacontrol.cpp
@@ -4,7 +4,9 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace jackdawdoor::proxy {
 
@@ -18,8 +20,12 @@
 constexpr int broadcastDatagramsPerSecond = 1000;
 /** Messages that this instance has no requests of organisations with a quota any more; some may be lost. */
 constexpr int farewellRepeats = 3;
-/** In a fleet of at most this size each report goes to all instances; in a larger one that would make reports too rare. */
-constexpr std::size_t smallFleet = 128;
+/** In a fleet of at most this size each report goes to all instances. In a larger one instances without callers get only the full
+ * reports, since the datagrams grow with the square of the fleet. */
+constexpr std::size_t smallFleet = 16;
+/** Callers use an instance with this many requests in about that time. The operator's checks are about one in a second. */
+constexpr double minimumServingRequests = 4;
+constexpr Duration recentRequestsTime = std::chrono::seconds{2};
 constexpr Duration expiryPeriod = std::chrono::seconds{1};
 /** Minimum time between two log lines of a kind; an organisation over its quota causes thousands of refusals in a second. */
 constexpr Duration linePeriod = std::chrono::milliseconds{200};
@@ -74,6 +80,8 @@
     }
     const limits::QuotaDecision decision = m_quota.admit(now, keyOf(organisation), {organisation.requestsPerSecond, organisation.burst});
     m_metrics.countQuota(decision.admitted ? "admitted" : "refused");
+    decayRequests(now);
+    m_recentRequests += 1;
     if (!decision.admitted) {
         logRefusal(now, organisation, requestId, decision);
     }
@@ -112,7 +120,8 @@
         return;
     }
     m_nextExpiry = now + expiryPeriod;
-    if (!m_sending) {
+    updateServing(now);
+    if (!m_sending || !m_serving) {
         sendFarewell(now);
     }
     m_quota.expire(now);
@@ -133,6 +142,23 @@
     }
 }
 
+void QuotaControl::decayRequests(TimePoint now)
+{
+    const double age = toSeconds(now - std::exchange(m_decayed, now));
+    m_recentRequests *= std::exp(-age / toSeconds(recentRequestsTime));
+}
+
+/** An instance that callers leave tells the others, so that they don't take its silence for a cut. */
+void QuotaControl::updateServing(TimePoint now)
+{
+    decayRequests(now);
+    const bool served = std::exchange(m_serving, m_recentRequests >= minimumServingRequests);
+    m_quota.setServing(m_serving);
+    if (served && !m_serving) {
+        sendFarewell(now);
+    }
+}
+
 void QuotaControl::sendReports()
 {
     const TimePoint now = net::now();
@@ -140,13 +166,14 @@
     if (!m_sending) {
         return; // tick() tells the others
     }
-    m_farewells = farewellRepeats;
+    updateServing(now);
+    m_farewells = m_serving ? farewellRepeats : m_farewells;
     const std::vector<InstanceId> reporters = m_quota.reporters();
     const std::size_t members = m_hooks.members();
     const bool small = members <= smallFleet;
     const limits::DueReports due = m_quota.takeReport(now, small ? members : reporters.size());
     // Instances without requests of these organisations follow too, so that they know the balance when callers move to them.
-    const bool toAll = small || (due.full && now >= m_nextBroadcast);
+    const bool toAll = (small && m_serving) || (due.full && now >= m_nextBroadcast);
     if (toAll) {
         m_nextBroadcast = now + fromSeconds(static_cast<double>(members) / broadcastDatagramsPerSecond);
     }
--- a/src/proxy/quotacontrol.h
+++ b/src/proxy/quotacontrol.h
@@ -50,6 +50,8 @@
     void leave(TimePoint now);
 
 private:
+    void decayRequests(TimePoint now);
+    void updateServing(TimePoint now);
     void sendReports();
     void sendFarewell(TimePoint now);
     void logRefusal(TimePoint now,
@@ -65,6 +67,9 @@
     net::Timer m_timer;
     bool m_sending = false; ///< the timer runs
     bool m_left = false;
+    bool m_serving = false;
+    double m_recentRequests = 0; ///< of organisations with a quota; decays
+    TimePoint m_decayed{};
     TimePoint m_nextBroadcast{};
     TimePoint m_nextExpiry{};
     TimePoint m_nextRefusalLine{};
