Send quota reports to the instances that take part only

Change: instances that callers do not use get no reports above 16 instances. When callers begin to use one, it keeps at most one token of each organisation and follows the next reports closely.

--- a/src/limits/organisationquota.cpp
+++ b/src/limits/organisationquota.cpp
@@ -48,6 +48,7 @@
 
 OrganisationQuota::OrganisationQuota(TimePoint now, std::uint64_t seed, LimitLookup limitOf)
     : m_start(now)
+    , m_knownSince(now)
     , m_random(seed)
     , m_limitOf(std::move(limitOf))
     , m_lastAsked(now - idleTime)
@@ -67,7 +68,7 @@
         if (m_buckets.size() >= maximumBuckets) {
             return nullptr;
         }
-        found = m_buckets.try_emplace(key, now, limit, now - m_start).first;
+        found = m_buckets.try_emplace(key, now, limit, now - m_knownSince).first;
     }
     found->second.refill(now, limit, visibleShare(now));
     return &found->second;
@@ -175,15 +176,21 @@
     return true;
 }
 
-void OrganisationQuota::setServing(bool serving)
+void OrganisationQuota::setServing(TimePoint now, bool serving)
 {
+    if (serving && !m_serving) {
+        for (auto &[key, bucket] : m_buckets) {
+            bucket.resetKnowledge();
+        }
+        m_knownSince = now;
+    }
     m_serving = serving;
 }
 
 /** An instance that is silent for longer counts as cut off. */
 Duration OrganisationQuota::visibleTime() const
 {
-    // Without callers this instance gets only the full reports of the others.
+    // Without callers this instance gets only the reports of small fleets.
     return m_serving ? std::max(minimumVisibleTime, visiblePeriods * m_period) : visiblePeriods * fullQuotaPeriod;
 }
 
@@ -200,12 +207,12 @@
     return now - m_lastAsked < idleTime;
 }
 
-DueReports OrganisationQuota::takeReport(TimePoint now, std::size_t receivers)
+std::vector<QuotaReport> OrganisationQuota::takeReport(TimePoint now, std::size_t receivers)
 {
     m_period = std::max(minimumQuotaPeriod, fromSeconds(static_cast<double>(receivers) / maximumQuotaDatagramsPerSecond));
     const Duration sinceLast = now - m_lastReport;
     if (!m_serving) {
-        return sinceLast < fullQuotaPeriod ? DueReports{} : takeQuietReport(now);
+        return sinceLast < fullQuotaPeriod ? std::vector<QuotaReport>{} : takeQuietReport(now);
     }
     if (!active(now) || sinceLast < m_period || (m_urgent.empty() && sinceLast < calmQuotaPeriod)) {
         return {};
@@ -214,11 +221,11 @@
     const bool full = now - m_lastFullReport >= fullQuotaPeriod;
     m_lastFullReport = full ? now : m_lastFullReport;
     const std::vector<QuotaItem> urgent = takeUrgentItems(now);
-    return {reportOf(now, full ? changedItems(now) : urgent, true), full};
+    return reportOf(now, full ? changedItems(now) : urgent, true);
 }
 
 /** Returns the requests that an instance without callers has had. */
-DueReports OrganisationQuota::takeQuietReport(TimePoint now)
+std::vector<QuotaReport> OrganisationQuota::takeQuietReport(TimePoint now)
 {
     m_urgent.clear();
     const std::vector<QuotaItem> items = changedItems(now);
@@ -226,7 +233,7 @@
         return {};
     }
     m_lastReport = now;
-    return {reportOf(now, items, false), false};
+    return reportOf(now, items, false);
 }
 
 std::vector<QuotaItem> OrganisationQuota::takeUrgentItems(TimePoint now)
--- a/src/limits/organisationquota.h
+++ b/src/limits/organisationquota.h
@@ -38,12 +38,6 @@
     bool operator==(const QuotaDecision &) const = default;
 };
 
-/** Reports to send, in parts of one datagram each. */
-struct DueReports {
-    std::vector<QuotaReport> parts;
-    bool full = false; ///< they have all counters that changed recently, so instances without own requests need them too
-};
-
 /** Quotas of all organisations at one instance. Times must not go back. */
 class OrganisationQuota
 {
@@ -63,8 +57,9 @@
     int receive(TimePoint now, const InstanceRef &from, const QuotaReport &report);
 
     /** Sets whether callers use this instance. If not, it reports only requests that it has had all the same, such as checks by the
-     * operator, and sends no signs of life: with all instances of a fleet doing so, these would cost more than the requests. */
-    void setServing(bool serving);
+     * operator, sends no signs of life and gets no reports: with all instances of a fleet taking part, these would cost more than
+     * the requests. So when callers begin to use it, what it knows is old, and its buckets begin as after a start. */
+    void setServing(TimePoint now, bool serving);
 
     /** The instance has left in a planned way, so its absence says nothing about the links. */
     void forget(const InstanceId &instance);
@@ -72,8 +67,9 @@
     /** True if this instance has had requests of organisations with a quota lately, and so sends reports. */
     bool active(TimePoint now) const;
 
-    /** Returns the reports that are due: urgent changes or, at a longer interval, all recent ones. Empty if none is due. */
-    DueReports takeReport(TimePoint now, std::size_t receivers);
+    /** Returns the reports that are due, one for each datagram: urgent changes or, at a longer interval, all recent ones. Empty if none
+     * is due. */
+    std::vector<QuotaReport> takeReport(TimePoint now, std::size_t receivers);
 
     /** Returns the counters that changed recently, for an instance that needs them at once. */
     std::vector<QuotaReport> recentReport(TimePoint now);
@@ -114,11 +110,12 @@
     std::vector<QuotaReport> reportOf(TimePoint now, const std::vector<QuotaItem> &items, bool active);
     std::vector<QuotaItem> changedItems(TimePoint now);
     std::vector<QuotaItem> takeUrgentItems(TimePoint now);
-    DueReports takeQuietReport(TimePoint now);
+    std::vector<QuotaReport> takeQuietReport(TimePoint now);
     std::int64_t uptime(TimePoint now) const;
     Duration visibleTime() const;
 
     TimePoint m_start;
+    TimePoint m_knownSince; ///< reports of the others have been received since then
     RandomSource m_random;
     LimitLookup m_limitOf;
     absl::flat_hash_map<std::uint64_t, QuotaBucket> m_buckets;
--- a/src/limits/quotabucket.cpp
+++ b/src/limits/quotabucket.cpp
@@ -101,6 +101,12 @@
     m_balance += (std::clamp(balance, -maximumDebt, capacity()) - m_balance) / (m_balancesSeen + 1);
 }
 
+void QuotaBucket::resetKnowledge()
+{
+    m_balance = std::min(m_balance, 1.0);
+    m_balancesSeen = 0;
+}
+
 Duration QuotaBucket::timeUntilToken() const
 {
     // Those refused in the last second wait as well.
--- a/src/limits/quotabucket.h
+++ b/src/limits/quotabucket.h
@@ -43,6 +43,9 @@
     /** Moves the balance towards that of another instance, so that balances agree after a restart, a cut or lost messages. */
     void approach(double balance);
 
+    /** What is known of other instances is old: keeps at most one token, and follows the next reports closely. */
+    void resetKnowledge();
+
     /** Time until a token is left for a caller that waits now. */
     Duration timeUntilToken() const;
 
--- a/src/proxy/quotacontrol.cpp
+++ b/src/proxy/quotacontrol.cpp
@@ -16,12 +16,10 @@
 
 /** Interval at which due reports are looked for. */
 constexpr Duration sendPeriod = std::chrono::milliseconds{10};
-/** Datagrams in a second to instances that are not known to use quotas. They grow with the fleet, so the interval does too. */
-constexpr int broadcastDatagramsPerSecond = 1000;
 /** Messages that this instance has no requests of organisations with a quota any more; some may be lost. */
 constexpr int farewellRepeats = 3;
-/** In a fleet of at most this size each report goes to all instances. In a larger one instances without callers get only the full
- * reports, since the datagrams grow with the square of the fleet. */
+/** In a fleet of at most this size each report goes to all instances. In a larger one instances without callers get none, since
+ * the bytes grow with the square of the fleet. */
 constexpr std::size_t smallFleet = 16;
 /** Callers use an instance with this many requests in about that time. The operator's checks are about one in a second. */
 constexpr double minimumServingRequests = 4;
@@ -153,7 +151,7 @@
 {
     decayRequests(now);
     const bool served = std::exchange(m_serving, m_recentRequests >= minimumServingRequests);
-    m_quota.setServing(m_serving);
+    m_quota.setServing(now, m_serving);
     if (served && !m_serving) {
         sendFarewell(now);
     }
@@ -170,14 +168,9 @@
     m_farewells = m_serving ? farewellRepeats : m_farewells;
     const std::vector<InstanceId> reporters = m_quota.reporters();
     const std::size_t members = m_hooks.members();
-    const bool small = members <= smallFleet;
-    const limits::DueReports due = m_quota.takeReport(now, small ? members : reporters.size());
     // Instances without requests of these organisations follow too, so that they know the balance when callers move to them.
-    const bool toAll = (small && m_serving) || (due.full && now >= m_nextBroadcast);
-    if (toAll) {
-        m_nextBroadcast = now + fromSeconds(static_cast<double>(members) / broadcastDatagramsPerSecond);
-    }
-    for (const fleet::QuotaReport &report : due.parts) {
+    const bool toAll = m_serving && members <= smallFleet;
+    for (const fleet::QuotaReport &report : m_quota.takeReport(now, toAll ? members : reporters.size())) {
         if (toAll) {
             m_hooks.broadcast(report);
         } else {
--- a/src/proxy/quotacontrol.h
+++ b/src/proxy/quotacontrol.h
@@ -70,7 +70,6 @@
     bool m_serving = false;
     double m_recentRequests = 0; ///< of organisations with a quota; decays
     TimePoint m_decayed{};
-    TimePoint m_nextBroadcast{};
     TimePoint m_nextExpiry{};
     TimePoint m_nextRefusalLine{};
     TimePoint m_nextInvalidLine{};
--- a/test/correctness/quotafleet.h
+++ b/test/correctness/quotafleet.h
@@ -186,8 +186,7 @@
         if (paused(from)) {
             return;
         }
-        limits::DueReports due = m_quotas[from]->takeReport(m_now, m_quotas[from]->reporters().size());
-        for (limits::QuotaReport &part : due.parts) {
+        for (limits::QuotaReport &part : m_quotas[from]->takeReport(m_now, m_quotas[from]->reporters().size())) {
             const auto shared = std::make_shared<const limits::QuotaReport>(std::move(part));
             for (std::size_t to = 0; to < m_quotas.size(); ++to) {
                 if (to != from && !cut(from, to)) {
--- a/test/correctness/quotareports_test.cpp
+++ b/test/correctness/quotareports_test.cpp
@@ -114,15 +114,15 @@
     OrganisationQuota quota = makeQuota();
     TimePoint now = start + seconds{1};
     CHECK(quota.admit(now, organisation + 1, {}).admitted);
-    CHECK(quota.takeReport(now, 10).parts.empty());
+    CHECK(quota.takeReport(now, 10).empty());
     CHECK(quota.buckets() == 0);
     CHECK(quota.admit(now, organisation, {10, 10}).admitted);
-    CHECK(quota.takeReport(now, 10).parts.size() == 1);
+    CHECK(quota.takeReport(now, 10).size() == 1);
     now += seconds{61};
     quota.expire(now);
     CHECK(quota.buckets() == 0);
     CHECK(!quota.active(now));
-    CHECK(quota.takeReport(now, 10).parts.empty());
+    CHECK(quota.takeReport(now, 10).empty());
 }
 
 TEST_CASE("Only silence of instances that have not left lowers the share, and not after one lost report")
@@ -193,7 +193,7 @@
     for (std::uint64_t key = 0; key < maximumQuotaItems + 1; ++key) {
         quota.admit(now, key, {10, 10});
     }
-    const auto parts = quota.takeReport(now, 10).parts;
+    const auto parts = quota.takeReport(now, 10);
     REQUIRE(parts.size() == 2);
     CHECK(parts[0].items.size() == maximumQuotaItems);
     CHECK(parts[1].items.size() == 1);
