Keep all ready upstreams of a failing service in use

Cause: the floor's share is kept of all ready upstreams, while the operator's floor counts only those without a recent disruption.

Change: load reports carry the number of failed requests of each service. The platform model counts the floor of a part of the upstreams only.

--- a/bench/platform/platformmodel_main.cpp
+++ b/bench/platform/platformmodel_main.cpp
@@ -42,7 +42,23 @@
     busyShortWork.name = "short work, high load";
     busyShortWork.perSecond = 300;
     ServiceLoad longWork{"long work, four slots", Repeatability::AtMostOnce, 81, 4, 328, 0.32, 12, 2, 9, 0.1, 0.9, 0.05, 1.2, 0.03, {}};
-    return {orders, busyOrders, fewOrders, killedOrders, lookups, busyLookups, downloads, shortWork, busyShortWork, longWork};
+    ServiceLoad disruptedOrders = orders;
+    disruptedOrders.name = "orders, 8 of 21 undisturbed";
+    disruptedOrders.countedShare = 8.0 / 21;
+    ServiceLoad disruptedWork{
+        "short work, 9 of 120 undisturbed", Repeatability::AtMostOnce, 120, 2, 427, 0.2, 12, 2, 9, 0.3, 0.9, 0.1, 0.8, 0.03, {}, 9.0 / 120};
+    return {orders,
+            busyOrders,
+            fewOrders,
+            killedOrders,
+            lookups,
+            busyLookups,
+            downloads,
+            shortWork,
+            busyShortWork,
+            longWork,
+            disruptedOrders,
+            disruptedWork};
 }
 
 } // namespace
--- a/bench/platform/servicemodel.h
+++ b/bench/platform/servicemodel.h
@@ -32,6 +32,7 @@
     double objectiveSeconds = 2; ///< later answers count as late
     double slowShare = 0; ///< share of the requests that last seven times as long
     Duration killEvery{}; ///< every second instance is killed and restarts after 2 s; zero: never
+    double countedShare = 1; ///< share of the upstreams that the floor counts; the others had a recent disruption
 };
 
 /** Results of a run. */
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -28,7 +28,17 @@
         demand.push_back(item.service);
         demand.push_back(item.requests);
     }
-    return json::array({std::move(items), std::move(demand), report.serving});
+    json fields = json::array({std::move(items), std::move(demand), report.serving});
+    if (!report.failures.empty()) {
+        // Instances of an earlier version ignore this field.
+        json failures = json::array();
+        for (const FailureItem &item : report.failures) {
+            failures.push_back(item.service);
+            failures.push_back(item.failures);
+        }
+        fields.push_back(std::move(failures));
+    }
+    return fields;
 }
 
 json encodePayload(const UpstreamNotice &notice)
@@ -144,6 +154,12 @@
         report.demand.push_back({demand.at(index).get<std::uint32_t>(), demand.at(index + 1).get<int>()});
     }
     report.serving = in.at(2).get<bool>();
+    constexpr std::size_t failuresIndex = 3;
+    constexpr std::size_t failuresWidth = 2;
+    const json failures = in.size() > failuresIndex ? in.at(failuresIndex) : json::array();
+    for (std::size_t index = 0; index + failuresWidth <= failures.size(); index += failuresWidth) {
+        report.failures.push_back({failures.at(index).get<std::uint32_t>(), failures.at(index + 1).get<int>()});
+    }
     return report;
 }
 
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -41,11 +41,20 @@
     bool operator==(const DemandItem &) const = default;
 };
 
+/** Requests of one service that got no successful answer from one instance. */
+struct FailureItem {
+    std::uint32_t service = 0; ///< see serviceKey
+    int failures = 0; ///< since the previous report
+
+    bool operator==(const FailureItem &) const = default;
+};
+
 /** Requests in flight at one instance, and those received and ended since its previous report. */
 struct LoadReport {
     std::vector<LoadItem> items;
     std::vector<DemandItem> demand = {};
     bool serving = false; ///< the sender has callers, so it needs reports of other instances soon
+    std::vector<FailureItem> failures = {};
 
     bool operator==(const LoadReport &) const = default;
 };
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -117,7 +117,8 @@
     if (!admitByQuota(now)) {
         return;
     }
-    m_context.budgetOf(m_service).onOriginal(now);
+    m_context.countRequest(now, m_service);
+    m_counted = true;
     m_timer.set(m_deadline - now);
     tryAttempt(now);
 }
@@ -137,7 +138,7 @@
                                              m_context.dataCentre,
                                              m_tried,
                                              budget.requestsPerSecond(now),
-                                             m_context.floorShare,
+                                             m_context.floorShareOf(m_service),
                                              budget.allows(now),
                                              m_deadline - now,
                                              m_request.body.size(),
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -101,6 +101,7 @@
     int m_possibleRuns = 0;
     int m_attemptCount = 0;
     int m_lostConnections = 0; ///< attempts whose upstream ended the connection
+    bool m_counted = false; ///< among the requests of its service
     bool m_chargedToQuota = false; ///< the organisation's quota has paid for the request
     bool m_mayHaveRun = false;
     bool m_done = false;
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int tooManyRequests = 429;
+constexpr int firstFailureStatus = 500;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 /** Retry-After of a refusal, with random jitter: late enough that a slot is free, early enough for another attempt within the
@@ -169,6 +170,9 @@
     if (m_attemptCount == 0) {
         giveBackQuota(now);
     }
+    if (m_counted && status >= firstFailureStatus) {
+        m_context.failureShares[m_service].addOwnFailure(now);
+    }
     m_context.metrics.countRequest(reason, now - m_request.received);
     logRequest(m_requestId, m_route, status, reason, m_attemptCount, now - m_request.received);
 }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -221,6 +221,7 @@
     m_storeReplica->tick(now, *m_membership.view());
     m_proxy.tick(now);
     m_context.upstreams.expireReports(now);
+    m_context.updateFailureShares(now);
     for (const fleet::AnnouncementEnd &end : m_context.upstreams.takeAnnouncementEnds(now)) {
         logAnnouncementEnd(end);
     }
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -42,7 +42,7 @@
     if (now >= m_nextReport) {
         m_nextReport = now + fleet::loadReportPeriod;
         fleet::LoadReport report = m_context.upstreams.takeOwnReport();
-        report.demand = m_context.takeDemand();
+        m_context.fillReport(report);
         report.serving = updateServing(report.demand);
         // An instance that begins to serve must be known to the others at once.
         const bool begins = report.serving && !m_serving;
@@ -217,7 +217,7 @@
             m_servingInstances[datagram.from.id] = now;
         }
         m_context.upstreams.applyLoadReport(now, datagram.from.id, *report);
-        m_context.addPeerDemand(now, report->demand);
+        m_context.addPeerReport(now, *report);
     } else if (const auto *events = std::get_if<fleet::UpstreamNotice>(&datagram.message)) {
         for (const fleet::UpstreamEntry &leaving : m_context.upstreams.applyNotice(now, *events)) {
             m_context.metrics.countLeaving("other-instance");
--- a/src/proxy/proxylog.cpp
+++ b/src/proxy/proxylog.cpp
@@ -66,6 +66,14 @@
     telemetry::writeLog(LogLevel::Info, "choose upstream", fleet::reasonName(choice.reason), fields);
 }
 
+void logFailureShare(const ServiceId &service, double share, bool elevated)
+{
+    telemetry::writeLog(LogLevel::Info,
+                        "service failures",
+                        elevated ? "elevated; all ready upstreams are kept in use" : "no longer elevated",
+                        {{"service", service.value}, {"share", decimals(share)}});
+}
+
 void logRateLimit(const std::string &requestId,
                   const ServiceId &service,
                   const fleet::UpstreamEntry &upstream,
--- a/src/proxy/proxylog.h
+++ b/src/proxy/proxylog.h
@@ -27,6 +27,9 @@
                 const fleet::RequestFingerprint &fingerprint,
                 TimePoint now);
 
+/** Logs that a service has begun or ceased to fail. share: of its recent requests, at all instances, that failed. */
+void logFailureShare(const ServiceId &service, double share, bool elevated);
+
 /** Logs that an upstream announces a new or changed rate limit, or none any more (nullopt). */
 void logRateLimit(const std::string &requestId,
                   const ServiceId &service,
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -1,5 +1,7 @@
 #include "proxy/requestcontext.h"
 
+#include "proxy/proxylog.h"
+
 namespace jackdawdoor::proxy {
 
 RequestContext::RequestContext(net::EventLoop &eventLoop,
@@ -29,24 +31,55 @@
     return budgets.try_emplace(service, retryLimits).first->second;
 }
 
-std::vector<fleet::DemandItem> RequestContext::takeDemand()
+void RequestContext::countRequest(TimePoint now, const ServiceId &service)
+{
+    budgetOf(service).onOriginal(now);
+    failureShares[service].addRequests(now, 1);
+}
+
+double RequestContext::floorShareOf(const ServiceId &service) const
+{
+    const auto found = failureShares.find(service);
+    return found != failureShares.end() && found->second.elevated() ? 1 : floorShare;
+}
+
+void RequestContext::updateFailureShares(TimePoint now)
+{
+    for (auto &[service, failures] : failureShares) {
+        if (failures.update(now)) {
+            logFailureShare(service, failures.share(now), failures.elevated());
+        }
+    }
+}
+
+void RequestContext::fillReport(fleet::LoadReport &report)
 {
-    std::vector<fleet::DemandItem> demand;
     for (auto &[service, budget] : budgets) {
-        const int requests = budget.takeUnreportedRequests();
-        if (requests > 0) {
-            demand.push_back({fleet::serviceKey(service), requests});
+        if (const int requests = budget.takeUnreportedRequests(); requests > 0) {
+            report.demand.push_back({fleet::serviceKey(service), requests});
+        }
+    }
+    for (auto &[service, failureShare] : failureShares) {
+        if (const int failures = failureShare.takeUnreportedFailures(); failures > 0) {
+            report.failures.push_back({fleet::serviceKey(service), failures});
         }
     }
-    return demand;
 }
 
-void RequestContext::addPeerDemand(TimePoint now, const std::vector<fleet::DemandItem> &demand)
+void RequestContext::addPeerReport(TimePoint now, const fleet::LoadReport &report)
 {
     for (auto &[service, budget] : budgets) {
-        for (const fleet::DemandItem &item : demand) {
-            if (item.service == fleet::serviceKey(service)) {
+        const std::uint32_t key = fleet::serviceKey(service);
+        fleet::FailureShare &failureShare = failureShares[service];
+        for (const fleet::DemandItem &item : report.demand) {
+            if (item.service == key) {
                 budget.onRemoteRequests(now, item.requests);
+                failureShare.addRequests(now, item.requests);
+            }
+        }
+        for (const fleet::FailureItem &item : report.failures) {
+            if (item.service == key) {
+                failureShare.addOtherFailures(now, item.failures);
             }
         }
     }
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "fleet/failureshare.h"
 #include "fleet/fleetmessage.h"
 #include "fleet/upstreamchoice.h"
 #include "fleet/upstreamtable.h"
@@ -35,6 +36,7 @@
     routing::TrafficSplit split{};
     std::map<ServiceId, limits::FleetRetryBudget> budgets{};
     limits::FleetRetryLimits retryLimits{};
+    std::map<ServiceId, fleet::FailureShare> failureShares{};
     RandomSource random;
     ProxyMetrics metrics{};
     CrashDetector crashes;
@@ -56,11 +58,20 @@
     /** Retry budget of the service on this instance. */
     limits::FleetRetryBudget &budgetOf(const ServiceId &service);
 
-    /** Requests of each service since the last call, for the load report to the other instances. */
-    std::vector<fleet::DemandItem> takeDemand();
+    /** Counts a new request of a service. */
+    void countRequest(TimePoint now, const ServiceId &service);
 
-    /** Adds the requests that another instance reported. */
-    void addPeerDemand(TimePoint now, const std::vector<fleet::DemandItem> &demand);
+    /** Share of the service's ready upstreams that must get requests: all of them while many of its requests fail. */
+    double floorShareOf(const ServiceId &service) const;
+
+    /** Evaluates the shares of failed requests, and logs which services begin or cease to fail. */
+    void updateFailureShares(TimePoint now);
+
+    /** Adds the requests and failures of each service since the last call to the load report to the other instances. */
+    void fillReport(fleet::LoadReport &report);
+
+    /** Adds the requests and failures that another instance reported. */
+    void addPeerReport(TimePoint now, const fleet::LoadReport &report);
 };
 
 } // namespace jackdawdoor::proxy
