Limit the connections to the directory and to the other own ports

Cause: the directory, readiness, metrics and peer ports were evhttp servers, which have no bound on their connections: 700 connections to the directory took the process to 716 of 600 descriptors, and the ordinary caller got no answer.

Change: InstanceServer answers these calls over CallerConnection, which has time and size limits already. A new connection takes the place of an idle or stalled one. Listener is shared with ProxyServer. Defaults: 390 connections to the directory, 117 to each other port.

--- a/src/limits/callershare.cpp
+++ b/src/limits/callershare.cpp
@@ -10,9 +10,12 @@
 constexpr std::size_t fileReserve = 200;
 constexpr double callersShare = 0.34;
 constexpr double idleUpstreamsShare = 0.1;
+constexpr double directoryShare = 0.1;
+constexpr double callsShare = 0.03;
 /** A process with too few descriptors still serves some callers. */
 constexpr std::size_t minimumCallers = 16;
 constexpr std::size_t minimumIdleUpstreams = 8;
+constexpr std::size_t minimumCalls = 8;
 /** A request that is sent without a pause is not taken for one that stands still. */
 constexpr Duration stallGrace = std::chrono::seconds{1};
 
@@ -29,7 +32,10 @@
         return {};
     }
     const std::size_t sockets = descriptors > fileReserve ? descriptors - fileReserve : 0;
-    return {std::max(minimumCallers, shareOf(sockets, callersShare)), std::max(minimumIdleUpstreams, shareOf(sockets, idleUpstreamsShare))};
+    return {std::max(minimumCallers, shareOf(sockets, callersShare)),
+            std::max(minimumIdleUpstreams, shareOf(sockets, idleUpstreamsShare)),
+            std::max(minimumCalls, shareOf(sockets, directoryShare)),
+            std::max(minimumCalls, shareOf(sockets, callsShare))};
 }
 
 std::optional<std::uint64_t> connectionToClose(TimePoint now, const std::vector<ConnectionState> &connections)
--- a/src/limits/callershare.h
+++ b/src/limits/callershare.h
@@ -14,6 +14,8 @@
 struct DescriptorShares {
     std::size_t callers = 1326; ///< connections from callers
     std::size_t idleUpstreams = 390; ///< idle connections to upstreams; those in use need at most about as many as callers
+    std::size_t directory = 390; ///< connections from callers to the directory
+    std::size_t calls = 117; ///< connections to each other port: readiness, metrics and other instances
 
     bool operator==(const DescriptorShares &) const = default;
 };
--- a/src/platform/platformserver.cpp
+++ b/src/platform/platformserver.cpp
@@ -10,30 +10,30 @@
 
 namespace {
 
-std::string pathOf(evhttp_request *request)
+std::string pathOf(const std::string &target)
 {
-    const std::string target = evhttp_request_get_uri(request);
     return target.substr(0, target.find('?'));
 }
 
 } // namespace
 
 PlatformServer::PlatformServer(net::EventLoop &loop, proxy::Gateway &gateway)
-    : m_loop(loop)
-    , m_gateway(gateway)
+    : m_gateway(gateway)
     , m_directory(loop,
-                  {},
-                  [this](evhttp_request *request) {
-                      answerResolve(request);
+                  [this](const std::string &target) {
+                      return answerResolve(target);
                   })
-    , m_readiness(loop, {}, [this](evhttp_request *request) {
-        answerReadiness(request);
+    , m_readiness(loop, [this](const std::string &target) {
+        return answerReadiness(target);
     })
 {
 }
 
 Result<bool> PlatformServer::listen(const proxy::ProxySettings &settings)
 {
+    const limits::DescriptorShares shares = limits::descriptorSharesFor(settings.maximumDescriptors);
+    m_directory.setMaximumConnections(shares.directory);
+    m_readiness.setMaximumConnections(shares.calls);
     const auto directory = m_directory.listen(settings.directory);
     if (!directory.has_value()) {
         return directory.error();
@@ -45,25 +45,21 @@
     return true;
 }
 
-void PlatformServer::answerResolve(evhttp_request *request)
+proxy::CallAnswer PlatformServer::answerResolve(const std::string &target)
 {
-    const std::string target = evhttp_request_get_uri(request);
-    net::ServerExchange exchange(m_loop, request, m_directory.limits(), {});
-    if (pathOf(request) != names::resolveCall) {
-        exchange.reply(HTTP_NOTFOUND, {}, "");
-        return;
+    if (pathOf(target) != names::resolveCall) {
+        return {HTTP_NOTFOUND};
     }
     const proxy::DirectoryAnswer answer =
         m_gateway.addressesFor(net::queryParameter(target, "name"), DataCentreId{net::queryParameter(target, "zone")});
     const nlohmann::json body{{"addresses", answer.addresses}, {"ttl-s", toSeconds(answer.ttl)}};
-    exchange.reply(HTTP_OK, {{"Content-Type", "application/json"}}, body.dump());
+    return {HTTP_OK, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
-void PlatformServer::answerReadiness(evhttp_request *request)
+proxy::CallAnswer PlatformServer::answerReadiness(const std::string &target) const
 {
-    const bool ready = pathOf(request) == names::readinessCall && m_gateway.ready();
-    net::ServerExchange exchange(m_loop, request, m_readiness.limits(), {});
-    exchange.reply(ready ? HTTP_OK : HTTP_SERVUNAVAIL, {}, "");
+    const bool ready = pathOf(target) == names::readinessCall && m_gateway.ready();
+    return {ready ? HTTP_OK : HTTP_SERVUNAVAIL};
 }
 
 } // namespace jackdawdoor::platform
--- a/src/platform/platformserver.h
+++ b/src/platform/platformserver.h
@@ -1,8 +1,8 @@
 /** HTTP servers for the platform's resolve and readiness calls. */
 #pragma once
 
-#include "net/httpserver.h"
 #include "proxy/gateway.h"
+#include "proxy/instanceserver.h"
 
 namespace jackdawdoor::platform {
 
@@ -15,13 +15,12 @@
     Result<bool> listen(const proxy::ProxySettings &settings);
 
 private:
-    void answerResolve(evhttp_request *request);
-    void answerReadiness(evhttp_request *request);
+    proxy::CallAnswer answerResolve(const std::string &target);
+    proxy::CallAnswer answerReadiness(const std::string &target) const;
 
-    net::EventLoop &m_loop;
     proxy::Gateway &m_gateway;
-    net::HttpServer m_directory;
-    net::HttpServer m_readiness;
+    proxy::InstanceServer m_directory;
+    proxy::InstanceServer m_readiness;
 };
 
 } // namespace jackdawdoor::platform
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -13,6 +13,7 @@
 #include "routing/route.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -158,6 +159,15 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
+/** Connections by their addresses. */
+using CallerConnections = std::map<const CallerConnection *, std::unique_ptr<CallerConnection>>;
+
+/** Identifies a connection in the decisions on limits. */
+std::uint64_t idOf(const CallerConnection *connection);
+
+/** Connection that gives way to a new one; nullptr if there is none. See limits::connectionToClose. */
+CallerConnection *connectionToReplace(TimePoint now, const CallerConnections &connections);
+
 /** Reason phrase of a status. */
 const char *reasonPhrase(int status);
 
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -8,6 +8,7 @@
 #include <sys/ioctl.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace jackdawdoor::proxy {
 
@@ -22,6 +23,25 @@
 
 } // namespace
 
+std::uint64_t idOf(const CallerConnection *connection)
+{
+    return reinterpret_cast<std::uintptr_t>(connection);
+}
+
+CallerConnection *connectionToReplace(TimePoint now, const CallerConnections &connections)
+{
+    std::vector<limits::ConnectionState> states;
+    states.reserve(connections.size());
+    for (const auto &[key, connection] : connections) {
+        states.push_back(connection->connectionState(idOf(key)));
+    }
+    const auto closed = limits::connectionToClose(now, states);
+    const auto found = std::find_if(connections.begin(), connections.end(), [&closed](const auto &entry) {
+        return closed && idOf(entry.first) == *closed;
+    });
+    return found == connections.end() ? nullptr : found->second.get();
+}
+
 void CallerConnection::write(std::string_view bytes)
 {
     m_output.resize(m_output.bytes() + bytes.size());
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -59,6 +59,16 @@
                   })
     , m_membership(selfMember(m_settings, incarnation), m_context.random)
     , m_placement(m_membership.view())
+    , m_peerServer(
+          loop,
+          [this](const std::string &target) {
+              return answerPeer(target);
+          },
+          m_context.memory)
+    , m_metricsServer(loop,
+                      [this](const std::string & /*target*/) {
+                          return answerMetrics();
+                      })
     , m_timer(loop,
               [this] {
                   tick();
@@ -98,6 +108,8 @@
     m_context.memory->setLimits(limits::memoryLimitsFor(settings.memoryBytes));
     m_context.maximumCallers = shares.callers;
     m_context.pool.setMaximumIdle(shares.idleUpstreams);
+    m_peerServer.setMaximumConnections(shares.calls);
+    m_metricsServer.setMaximumConnections(shares.calls);
 }
 
 Result<bool> Gateway::start(StoreAccess access)
@@ -122,15 +134,9 @@
     if (m_settings.fleetStarts) {
         m_storeReplica->beginFleetStart(net::now(), uniform(m_context.random));
     }
-    m_peerServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
-        handlePeerRequest(request);
-    });
-    m_metricsServer = std::make_unique<net::HttpServer>(m_loop, net::ServerLimits{}, [this](evhttp_request *request) {
-        handleMetricsRequest(request);
-    });
     const Result<settings::Endpoint> listening[] = {m_datagrams.bind(m_settings.peers),
-                                                    m_peerServer->listen(m_settings.peers),
-                                                    m_metricsServer->listen(m_settings.metrics),
+                                                    m_peerServer.listen(m_settings.peers),
+                                                    m_metricsServer.listen(m_settings.metrics),
                                                     m_proxy.listen(m_settings.callers)};
     for (const auto &endpoint : listening) {
         if (!endpoint.has_value()) {
@@ -321,26 +327,22 @@
     });
 }
 
-void Gateway::handlePeerRequest(evhttp_request *request)
+CallAnswer Gateway::answerPeer(const std::string &target)
 {
-    const std::string target = evhttp_request_get_uri(request);
     const auto version = net::parseNumber(net::queryParameter(target, "configuration"));
     const auto catalogue = net::parseNumber(net::queryParameter(target, "catalogue"));
-    net::ServerExchange exchange(m_loop, request, m_peerServer->limits(), {});
     if (!version || !catalogue) {
-        exchange.reply(HTTP_BADREQUEST, {}, "expected configuration and catalogue\n");
-        return;
+        return {HTTP_BADREQUEST, {}, "expected configuration and catalogue\n"};
     }
-    exchange.reply(HTTP_OK, {}, m_storeReplica->exportState(*version, *catalogue, net::now()));
+    return {HTTP_OK, {}, m_storeReplica->exportState(*version, *catalogue, net::now())};
 }
 
-void Gateway::handleMetricsRequest(evhttp_request *request)
+CallAnswer Gateway::answerMetrics()
 {
     m_context.metrics.setDroppedLines(telemetry::droppedLines());
     m_context.metrics.setMemory(*m_context.memory);
     m_context.metrics.setCallers(m_proxy.connections(), m_context.maximumCallers);
-    net::ServerExchange exchange(m_loop, request, m_metricsServer->limits(), {});
-    exchange.reply(HTTP_OK, {{"Content-Type", "text/plain"}}, m_context.metrics.text());
+    return {HTTP_OK, {{"Content-Type", "text/plain"}}, m_context.metrics.text()};
 }
 
 void Gateway::beginStop(std::function<void()> onStopped)
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -5,9 +5,9 @@
 #include "fleet/noticequeue.h"
 #include "membership/membership.h"
 #include "net/eventloop.h"
-#include "net/httpserver.h"
 #include "placement/placementtable.h"
 #include "proxy/datagramsocket.h"
+#include "proxy/instanceserver.h"
 #include "proxy/proxyserver.h"
 #include "proxy/proxysettings.h"
 #include "proxy/storereplica.h"
@@ -85,8 +85,8 @@
     void readInstanceList();
     void supersedePreviousIncarnation();
     void contactSeeds(TimePoint now);
-    void handlePeerRequest(evhttp_request *request);
-    void handleMetricsRequest(evhttp_request *request);
+    CallAnswer answerPeer(const std::string &target);
+    CallAnswer answerMetrics();
 
     net::EventLoop &m_loop;
     ProxySettings m_settings;
@@ -97,8 +97,8 @@
     placement::PlacementTable m_placement;
     std::unique_ptr<StoreReplica> m_storeReplica;
     StoreAccess m_access;
-    std::unique_ptr<net::HttpServer> m_peerServer;
-    std::unique_ptr<net::HttpServer> m_metricsServer;
+    InstanceServer m_peerServer;
+    InstanceServer m_metricsServer;
     net::Timer m_timer;
     double m_recentRequests = 0; ///< requests of callers, exponentially decaying
     std::map<InstanceId, TimePoint> m_servingInstances; ///< time of the last load report of each serving instance
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -1,13 +1,9 @@
 #include "proxy/proxyserver.h"
 
-#include "net/socketaddress.h"
 #include "proxy/proxylog.h"
 
-#include <event2/listener.h>
 #include <event2/util.h>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <vector>
 
@@ -15,8 +11,6 @@
 
 namespace {
 
-/** Length of the accept queue. When it is full, SYN packets are dropped and callers wait seconds for the retransmission. */
-constexpr int backlog = 1024;
 /** Bytes in the kernel count as memory of the process. With 2 ms between caller and instance, this allows 64 MB/s. */
 constexpr int receiveBufferBytes = 128 * 1024;
 
@@ -24,6 +18,10 @@
 
 ProxyServer::ProxyServer(RequestContext &context)
     : m_context(context)
+    , m_listener(context.loop,
+                 [this](int socket) {
+                     accept(socket);
+                 })
     , m_input(context.memory, limits::MemoryKind::Input, 0)
 {
     m_hooks.onRequest = [this](CallerConnection &connection, CallerRequest &&request) {
@@ -47,45 +45,27 @@
 
 ProxyServer::~ProxyServer()
 {
-    if (m_listener != nullptr) {
-        evconnlistener_free(m_listener);
-    }
     m_exchanges.clear();
 }
 
 Result<settings::Endpoint> ProxyServer::listen(const settings::Endpoint &endpoint)
 {
-    sockaddr_storage address{};
-    const socklen_t length = net::toSocketAddress(endpoint, address);
-    m_listener = evconnlistener_new_bind(m_context.loop.base(),
-                                         &ProxyServer::onAccept,
-                                         this,
-                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-                                         backlog,
-                                         reinterpret_cast<sockaddr *>(&address),
-                                         static_cast<int>(length));
-    if (m_listener == nullptr) {
-        return Error{"listen for callers", endpoint.text(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
-    }
-    // Accepted sockets inherit it.
-    setsockopt(evconnlistener_get_fd(m_listener), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
-    return settings::Endpoint{endpoint.host, net::boundPort(evconnlistener_get_fd(m_listener))};
+    return m_listener.listen(endpoint, receiveBufferBytes);
 }
 
-void ProxyServer::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/, int /*length*/, void *self)
+void ProxyServer::accept(int socket)
 {
-    auto *server = static_cast<ProxyServer *>(self);
-    if (!server->makeRoom()) {
+    if (!makeRoom()) {
         evutil_closesocket(socket);
         return;
     }
-    const routing::CallerLimits limits = server->m_context.routes ? server->m_context.routes->limits() : routing::CallerLimits{};
-    auto connection = std::make_unique<CallerConnection>(server->m_context.loop, socket, limits, server->m_hooks, server->m_context.memory);
-    if (server->m_stopping) {
+    const routing::CallerLimits limits = m_context.routes ? m_context.routes->limits() : routing::CallerLimits{};
+    auto connection = std::make_unique<CallerConnection>(m_context.loop, socket, limits, m_hooks, m_context.memory);
+    if (m_stopping) {
         connection->beginClose(false);
     }
     const CallerConnection *key = connection.get();
-    server->m_connections.emplace(key, std::move(connection));
+    m_connections.emplace(key, std::move(connection));
 }
 
 void ProxyServer::handleRequest(CallerConnection &connection, CallerRequest &&request)
@@ -130,10 +110,7 @@
 
 void ProxyServer::closeIdle()
 {
-    if (m_listener != nullptr) {
-        evconnlistener_free(m_listener);
-        m_listener = nullptr;
-    }
+    m_listener.close();
     for (const auto &[key, connection] : m_connections) {
         connection->beginClose(true);
     }
--- a/src/proxy/proxyserver.h
+++ b/src/proxy/proxyserver.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "net/listener.h"
 #include "proxy/exchange.h"
 #include "settings/settings.h"
 
@@ -9,9 +10,6 @@
 #include <memory>
 #include <string>
 
-struct evconnlistener;
-struct sockaddr;
-
 namespace jackdawdoor::proxy {
 
 /** Owns the callers' connections and the requests in progress. Used on one loop. */
@@ -48,7 +46,7 @@
     std::size_t connections() const;
 
 private:
-    static void onAccept(evconnlistener *listener, int socket, sockaddr *address, int length, void *self);
+    void accept(int socket);
     void handleRequest(CallerConnection &connection, CallerRequest &&request);
     void drop(CallerConnection &connection);
     bool makeRoom();
@@ -60,9 +58,9 @@
 
     RequestContext &m_context;
     CallerHooks m_hooks;
-    std::map<const CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
+    CallerConnections m_connections;
     std::map<const CallerConnection *, std::unique_ptr<Exchange>> m_exchanges;
-    evconnlistener *m_listener = nullptr;
+    net::Listener m_listener;
     limits::MemoryReservation m_input; ///< unread input of all connections
     std::size_t m_mostMemory = 0; ///< since memory was last returned to the system
     TimePoint m_nextReturn{};
--- a/src/proxy/proxyserverlimits.cpp
+++ b/src/proxy/proxyserverlimits.cpp
@@ -16,11 +16,6 @@
 constexpr Duration returnPeriod = std::chrono::seconds{1};
 constexpr Duration limitLogPeriod = std::chrono::seconds{1};
 
-std::uint64_t idOf(const CallerConnection *connection)
-{
-    return reinterpret_cast<std::uintptr_t>(connection);
-}
-
 } // namespace
 
 bool ProxyServer::makeRoom()
@@ -28,22 +23,14 @@
     if (m_connections.size() < m_context.maximumCallers) {
         return true;
     }
-    std::vector<limits::ConnectionState> states;
-    states.reserve(m_connections.size());
-    for (const auto &[key, connection] : m_connections) {
-        states.push_back(connection->connectionState(idOf(key)));
-    }
-    const auto closed = limits::connectionToClose(net::now(), states);
-    const char *reason = closed ? "connection-replaced" : "connection-refused";
+    CallerConnection *replaced = connectionToReplace(net::now(), m_connections);
+    const char *reason = replaced != nullptr ? "connection-replaced" : "connection-refused";
     ++m_limited[reason];
     m_context.metrics.countLimited(reason);
-    if (closed) {
-        const auto found = std::find_if(m_connections.begin(), m_connections.end(), [&closed](const auto &entry) {
-            return idOf(entry.first) == *closed;
-        });
-        drop(*found->second);
+    if (replaced != nullptr) {
+        drop(*replaced);
     }
-    return closed.has_value();
+    return replaced != nullptr;
 }
 
 void ProxyServer::checkConnections(TimePoint now)
