--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -61,7 +61,8 @@
         return true;
     }
     const std::size_t growth = m_request.body.growth(bytes);
-    const bool isSmall = m_request.body.size() + bytes <= limits::smallRequestBytes;
+    const std::uint64_t announced = m_request.head.contentLength.value_or(0);
+    const bool isSmall = std::max<std::uint64_t>(announced, m_request.body.size() + bytes) <= limits::smallRequestBytes;
     if (growth == 0 || m_memory->available(growth, isSmall ? limits::MemoryUser::SmallRequest : limits::MemoryUser::LargeRequest)) {
         m_waitingSince.reset();
         return true;
--- a/src/proxy/instanceserver.cpp
+++ b/src/proxy/instanceserver.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 /** Calls have short heads and no bodies; what does not fit is answered 431 or 413. */
-constexpr routing::CallerLimits callLimits{
-    std::size_t{8} * 1024, std::size_t{8} * 1024, std::chrono::seconds{10}, std::chrono::seconds{30}};
+constexpr routing::CallerLimits callLimits{std::size_t{8} * 1024,
+                                           std::size_t{8} * 1024,
+                                           std::chrono::seconds{10},
+                                           std::chrono::seconds{30}};
 constexpr Duration checkPeriod = std::chrono::seconds{1};
 
 } // namespace
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -25,8 +25,12 @@
         : m_account(std::move(account))
     {
         REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, m_sockets) == 0);
-        m_hooks.onRequest = [this](proxy::CallerConnection &, proxy::CallerRequest &&request) {
+        m_hooks.onRequest = [this](proxy::CallerConnection &connection, proxy::CallerRequest &&request) {
             bodyBytes = request.body.size();
+            ++requests;
+            if (answer) {
+                answer(connection);
+            }
         };
         m_hooks.onGone = [this](proxy::CallerConnection &) {
             gone = true;
@@ -46,10 +50,11 @@
 
     ~CallerFixture()
     {
-        close(m_sockets[1]);
+        shutdown(m_sockets[1], SHUT_RDWR); // ends a send that waits
         if (m_writer.joinable()) {
             m_writer.join();
         }
+        close(m_sockets[1]);
         m_loop.call([this] {
             m_connection.reset();
         });
@@ -97,6 +102,20 @@
         return {buffer, size > 0 ? static_cast<std::size_t>(size) : 0};
     }
 
+    /** Sends now; false if the connection is closed. */
+    bool sendNow(std::string_view bytes)
+    {
+        return ::send(m_sockets[1], bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
+
+    /** Ends the caller's side of the connection. */
+    void shutDown()
+    {
+        shutdown(m_sockets[1], SHUT_WR);
+    }
+
+    std::function<void(proxy::CallerConnection &)> answer; ///< to each request; set before the first
+    std::atomic<int> requests{0};
     std::atomic<std::size_t> bodyBytes{0};
     std::atomic<int> rejected{-1};
     std::atomic<bool> gone{false};
@@ -221,3 +240,18 @@
                   "an answer that is not read was not aborted");
     CHECK_MESSAGE(caller.gone.load(), "the request was not ended");
 }
+
+// Guards against an upload that uses up the reserve for small requests because it has only begun.
+TEST_CASE("a body that is announced as large does not begin in the reserve for small ones")
+{
+    const auto account = std::make_shared<limits::MemoryAccount>(limits::MemoryLimits{8 * megabyte, megabyte});
+    account->take(limits::MemoryKind::RequestBody, 7 * megabyte);
+    CallerFixture caller(account);
+    caller.send(upload(megabyte));
+    CHECK(waitsForMemory(caller));
+    caller.call([&](proxy::CallerConnection &) {
+        // The bytes that arrive with the head are read before the length is known.
+        CHECK_MESSAGE(account->used() <= 7 * megabyte + 2 * proxy::maximumReadAheadBytes, "the body is read into the reserve");
+    });
+}
+
