Begin no pipelined request while much of an answer is unsent

Change: beyond 512 KB of unsent bytes the next request waits until the output has drained. The new case of callerlimits_test began all 12 requests on the former code.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -121,6 +121,9 @@
 {
     evbuffer *input = bufferevent_get_input(m_socket);
     while (!m_busy && !m_ended && !m_closing && evbuffer_get_length(input) > 0) {
+        if (!m_receiving && unsent() > maximumUnsentBytes) {
+            return; // onWritten() reads on
+        }
         if (!m_receiving) {
             m_receiving = true;
             m_receivingBody = false;
@@ -360,6 +363,8 @@
     connection->m_output.resize(0);
     if (connection->m_closing && !connection->m_busy) {
         connection->scheduleEnd();
+    } else {
+        connection->readInput();
     }
 }
 
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -23,6 +23,10 @@
 
 namespace jackdawdoor::proxy {
 
+/** Unsent answer bytes above which reading from the upstream pauses and no further pipelined request is begun, so that a slow
+ * caller does not fill the memory. */
+constexpr std::size_t maximumUnsentBytes = std::size_t{512} * 1024;
+
 /** Limit of buffered input, such as pipelined requests. libevent reads no more at once, so a larger one would not be faster. */
 constexpr std::size_t maximumReadAheadBytes = std::size_t{16} * 1024;
 
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -106,7 +106,8 @@
     std::size_t bytes = evbuffer_get_length(bufferevent_get_input(m_socket));
     int inKernel = 0;
     // Only a connection that is not read has more than a moment's bytes in the kernel.
-    if ((m_waitingSince || bytes >= maximumReadAheadBytes) && ioctl(bufferevent_getfd(m_socket), FIONREAD, &inKernel) == 0) {
+    if ((m_waitingSince || bytes >= maximumReadAheadBytes)
+        && ioctl(bufferevent_getfd(m_socket), FIONREAD, &inKernel) == 0) {
         bytes += static_cast<std::size_t>(std::max(inKernel, 0));
     }
     return bytes + (m_receiving ? m_parser.headBytes() : 0);
@@ -118,10 +119,10 @@
         const std::size_t bytes = m_request.body.capacity();
         return {id, limits::MemoryPhase::Receiving, bytes, m_request.received, m_progressed, m_waitingSince};
     }
-    if (const std::size_t bytes = unsent(); bytes > 0) {
-        return {id, limits::MemoryPhase::Answering, bytes + runningBytes, m_request.received, m_sentProgress, std::nullopt};
-    }
-    return {id, limits::MemoryPhase::Running, runningBytes, m_request.received, m_request.received, std::nullopt};
+    const bool answering = unsent() > 0;
+    const limits::MemoryPhase phase = answering ? limits::MemoryPhase::Answering : limits::MemoryPhase::Running;
+    const TimePoint progressed = answering ? m_sentProgress : m_request.received;
+    return {id, phase, unsent() + runningBytes, m_request.received, progressed, std::nullopt};
 }
 
 limits::ConnectionState CallerConnection::connectionState(std::uint64_t id) const
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -13,9 +13,6 @@
 
 namespace jackdawdoor::proxy {
 
-/** Unsent answer bytes above which reading from the upstream pauses, so that a slow caller does not fill the memory. */
-constexpr std::size_t maximumUnsentBytes = std::size_t{512} * 1024;
-
 /** Runs the attempts of a request. Owned by ProxyServer; one per connection at a time. */
 class Exchange
 {
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -255,3 +255,30 @@
     });
 }
 
+// Guards against one caller that holds an answer for each of its pipelined requests without reading any.
+TEST_CASE("pipelined requests wait while the caller does not read the answers before them")
+{
+    constexpr int pipelined = 12;
+    constexpr std::size_t answerBytes = 600 * 1024;
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    caller.answer = [](proxy::CallerConnection &connection) {
+        connection.reply(200, {}, std::string(answerBytes, 'a'));
+    };
+    std::string sent;
+    for (int number = 0; number < pipelined; ++number) {
+        sent += "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    caller.send(sent);
+    REQUIRE(caller.waitUntil([&] {
+        return caller.requests > 0;
+    }));
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    CHECK_MESSAGE(caller.requests <= 2, caller.requests << " requests were begun");
+    for (std::size_t read = 0; read < pipelined * answerBytes;) {
+        const std::size_t size = caller.received().size();
+        REQUIRE_MESSAGE(size > 0, "the connection was closed");
+        read += size;
+    }
+    CHECK_MESSAGE(caller.requests == pipelined, "only " << caller.requests << " requests were answered once the caller read");
+}
+
