Let a refused caller read its answer before the connection ends

Change: after such an answer the sending side is shut down and input is read and dropped for at most 2 s. The answer repeats the request's id.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -17,6 +17,8 @@
 
 /** Longer than callers wait for an answer, so that packet loss alone does not end a connection that still awaits one. */
 constexpr std::chrono::seconds callerPeerTimeout{15};
+/** A refused caller may go on sending for this long, so that it reads the answer before the connection ends. */
+constexpr Duration lingerTime = std::chrono::seconds{2};
 /** A request whose body stops for this long is answered 408. */
 constexpr Duration bodyIdleTimeout = std::chrono::seconds{15};
 
@@ -120,7 +122,7 @@
 void CallerConnection::readInput()
 {
     evbuffer *input = bufferevent_get_input(m_socket);
-    while (!m_busy && !m_ended && !m_closing && evbuffer_get_length(input) > 0) {
+    while (!m_busy && !m_ended && !m_closing && !m_discarding && evbuffer_get_length(input) > 0) {
         if (!m_receiving && unsent() > maximumUnsentBytes) {
             return; // onWritten() reads on
         }
@@ -152,6 +154,15 @@
         m_timer.set(bodyIdleTimeout);
         noteProgress();
     }
+    if (m_discarding) {
+        discardInput();
+    }
+}
+
+void CallerConnection::discardInput()
+{
+    evbuffer *input = bufferevent_get_input(m_socket);
+    evbuffer_drain(input, evbuffer_get_length(input));
 }
 
 void CallerConnection::handleHead(MessageHead &&head)
@@ -201,8 +212,12 @@
     m_busy = true;
     m_receiving = false;
     m_closeAfterAnswer = true;
+    m_discarding = true;
+    bufferevent_enable(m_socket, EV_READ);
     m_hooks.onRejected(*this, status, reason);
-    reply(status, headers, std::string(reason) + "\n");
+    net::Headers answerHeaders = m_hooks.rejectionHeaders ? m_hooks.rejectionHeaders(m_request.head) : net::Headers{};
+    answerHeaders.insert(answerHeaders.end(), headers.begin(), headers.end());
+    reply(status, answerHeaders, std::string(reason) + "\n");
 }
 
 void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
@@ -307,7 +322,7 @@
     if (m_closeAfterAnswer) {
         m_closing = true;
         if (evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
-            scheduleEnd();
+            closeAfterAnswer();
         } else {
             armIdleTimer();
         }
@@ -321,6 +336,16 @@
     });
 }
 
+void CallerConnection::closeAfterAnswer()
+{
+    if (!m_discarding) {
+        scheduleEnd();
+        return;
+    }
+    shutdown(bufferevent_getfd(m_socket), SHUT_WR);
+    m_timer.set(lingerTime);
+}
+
 void CallerConnection::abort()
 {
     if (m_ended) {
@@ -362,7 +387,7 @@
     auto *connection = static_cast<CallerConnection *>(self);
     connection->m_output.resize(0);
     if (connection->m_closing && !connection->m_busy) {
-        connection->scheduleEnd();
+        connection->closeAfterAnswer();
     } else {
         connection->readInput();
     }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -45,6 +45,7 @@
     std::function<void(CallerConnection &)> onGone; ///< the caller disconnected during a request
     std::function<void(CallerConnection &)> onEnd; ///< the owner should destroy the connection; called from the loop
     std::function<void(CallerConnection &, int status, const char *reason)> onRejected; ///< malformed or too large
+    std::function<net::Headers(const MessageHead &)> rejectionHeaders{}; ///< of the answer to a rejected request; may be empty
 };
 
 /** Connection accepted from a caller. */
@@ -119,6 +120,7 @@
     static void onWritten(bufferevent *socket, void *self);
     static void onEvent(bufferevent *socket, short what, void *self);
     void readInput();
+    void discardInput();
     void handleHead(MessageHead &&head);
     void handleBody(std::string_view bytes);
     void handleComplete();
@@ -130,6 +132,7 @@
     void abortUnread(const char *reason);
     std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
+    void closeAfterAnswer();
     void scheduleEnd();
     void armIdleTimer();
 
@@ -154,6 +157,7 @@
     bool m_chunked = false;
     bool m_closeAfterAnswer = false;
     bool m_closing = false; ///< no further request is read
+    bool m_discarding = false; ///< input is read and dropped, so that unread bytes do not reset the connection at its close
     bool m_ended = false;
     bool m_tooLarge = false; ///< the body is longer than allowed
     bool m_headTooLarge = false;
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -106,7 +106,7 @@
     std::size_t bytes = evbuffer_get_length(bufferevent_get_input(m_socket));
     int inKernel = 0;
     // Only a connection that is not read has more than a moment's bytes in the kernel.
-    if ((m_waitingSince || bytes >= maximumReadAheadBytes)
+    if (!m_discarding && (m_waitingSince || bytes >= maximumReadAheadBytes)
         && ioctl(bufferevent_getfd(m_socket), FIONREAD, &inKernel) == 0) {
         bytes += static_cast<std::size_t>(std::max(inKernel, 0));
     }
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -36,6 +36,11 @@
     m_hooks.onEnd = [this](CallerConnection &connection) {
         drop(connection);
     };
+    m_hooks.rejectionHeaders = [this](const MessageHead &head) {
+        const std::string &name = m_context.protocol.names.requestId;
+        const std::string requestId = net::findHeader(head.headers, name);
+        return requestId.empty() ? net::Headers{} : net::Headers{{name, requestId}};
+    };
     m_hooks.onRejected = [this](CallerConnection &, int status, const char *reason) {
         ++m_limited[reason];
         m_context.metrics.countLimited(reason);
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -282,3 +282,29 @@
     CHECK_MESSAGE(caller.requests == pipelined, "only " << caller.requests << " requests were answered once the caller read");
 }
 
+// Guards against a reset that destroys a refusal before its caller, which is still sending, has read it.
+TEST_CASE("a refused caller may go on sending for a while, and its connection ends when it stops")
+{
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    REQUIRE(caller.sendNow("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"));
+    CHECK(caller.received().starts_with("HTTP/1.1 413 "));
+    for (int block = 0; block < 32; ++block) {
+        REQUIRE_MESSAGE(caller.sendNow(std::string(64 * 1024, 'b')), "the connection was closed after " << block << " blocks");
+    }
+    CHECK_FALSE(caller.ended);
+    caller.shutDown();
+    CHECK(caller.waitUntil([&] {
+        return caller.ended.load();
+    }));
+}
+
+// Guards against a connection that is kept for as long as a refused caller goes on sending.
+TEST_CASE("the connection of a refused caller that does not stop sending is closed")
+{
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    REQUIRE(caller.sendNow("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"));
+    CHECK(caller.waitUntil([&] {
+        return !caller.sendNow("b") && caller.ended;
+    }));
+}
+
