--- a/src/limits/memorypressure.cpp
+++ b/src/limits/memorypressure.cpp
@@ -19,9 +19,10 @@
         if (freed >= wanted) {
             break;
         }
-        if (holder.bytes > 0 && qualifies(holder)) {
+        const std::size_t bytes = relief == MemoryRelief::DropInput ? holder.inputBytes : holder.bytes;
+        if (bytes > 0 && qualifies(holder)) {
             steps.push_back({holder.id, relief});
-            freed += holder.bytes;
+            freed += bytes;
         }
     }
     return freed;
@@ -34,6 +35,8 @@
     switch (relief) {
     case MemoryRelief::CloseStopped:
         return "body-stopped";
+    case MemoryRelief::DropInput:
+        return "input-dropped";
     case MemoryRelief::Refuse:
         return "no-memory";
     case MemoryRelief::AbortUnread:
@@ -60,6 +63,14 @@
     freed = endWhile(steps, holders, MemoryRelief::AbortUnread, freed, wanted, [&](const MemoryHolder &holder) {
         return stopped(holder, MemoryPhase::Answering);
     });
+    std::stable_sort(holders.begin(), holders.end(), [](const MemoryHolder &left, const MemoryHolder &right) {
+        return left.inputBytes > right.inputBytes;
+    });
+    freed = endWhile(steps, holders, MemoryRelief::DropInput, freed, wanted, [&steps](const MemoryHolder &holder) {
+        return holder.phase != MemoryPhase::Receiving && std::none_of(steps.begin(), steps.end(), [&holder](const auto &step) {
+                   return step.id == holder.id;
+               });
+    });
     if (freed >= wanted) {
         return steps;
     }
--- a/src/limits/memorypressure.h
+++ b/src/limits/memorypressure.h
@@ -32,6 +32,7 @@
     TimePoint began{}; ///< when the request began
     TimePoint progressed{}; ///< when its bytes last moved
     std::optional<TimePoint> waitingSince{}; ///< when it was first not read for lack of memory, until it is read again
+    std::size_t inputBytes = 0; ///< unread input behind the request
 
     bool operator==(const MemoryHolder &) const = default;
 };
@@ -39,6 +40,7 @@
 /** How a request is ended. */
 enum class MemoryRelief {
     CloseStopped, ///< its body stopped: 408
+    DropInput, ///< the request goes on; the input behind it, which has not been read, is dropped
     Refuse, ///< it has not run and will not: 503
     AbortUnread, ///< its caller does not read the answer
     AbortRunning, ///< it runs at an upstream
@@ -63,9 +65,9 @@
 };
 
 /** Returns the requests to end now, so that the needed bytes become free: first those whose body has stopped and then those
- * whose answer is not read, the longest first; then the newest one that has waited too long, one per call, since the others
- * may do with its memory. For an overdraft, requests that are being received are refused, and only then those that run are
- * ended, the newest first. */
+ * whose answer is not read, the longest first; then the input behind other requests is dropped, the largest first; then the
+ * newest request that has waited too long is refused, one per call, since the others may do with its memory. For an overdraft, requests
+ * that are being received are refused, and only then those that run are ended, the newest first. */
 std::vector<MemoryReliefStep> relieveMemory(TimePoint now, const MemoryNeed &need, std::vector<MemoryHolder> holders);
 
 } // namespace jackdawdoor::limits
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -103,7 +103,7 @@
     /** What the connection does, for the choice of one to close. */
     limits::ConnectionState connectionState(std::uint64_t id) const;
 
-    /** Ends a request that is being received or an answer that is not read. */
+    /** Ends a request that is being received or an answer that is not read, or drops the input behind a request. */
     void endForMemory(limits::MemoryRelief relief);
 
     /** Announces "Connection: close" with the next answer; with closeIdle, an idle connection is closed now. */
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -122,7 +122,7 @@
     const bool answering = unsent() > 0;
     const limits::MemoryPhase phase = answering ? limits::MemoryPhase::Answering : limits::MemoryPhase::Running;
     const TimePoint progressed = answering ? m_sentProgress : m_request.received;
-    return {id, phase, unsent() + runningBytes, m_request.received, progressed, std::nullopt};
+    return {id, phase, unsent() + runningBytes, m_request.received, progressed, std::nullopt, m_discarding ? 0 : inputBytes()};
 }
 
 limits::ConnectionState CallerConnection::connectionState(std::uint64_t id) const
@@ -143,6 +143,12 @@
     case limits::MemoryRelief::CloseStopped:
         reject(HTTP_STATUS_REQUEST_TIMEOUT, limits::memoryReliefName(relief));
         return;
+    case limits::MemoryRelief::DropInput:
+        m_hooks.onRejected(*this, 0, limits::memoryReliefName(relief));
+        m_closeAfterAnswer = true;
+        m_discarding = true;
+        discardInput();
+        return;
     case limits::MemoryRelief::Refuse:
         reject(HTTP_STATUS_SERVICE_UNAVAILABLE, limits::memoryReliefName(relief), {{"Retry-After", memoryRetryAfter}});
         return;
--- a/test/correctness/memoryaccount_test.cpp
+++ b/test/correctness/memoryaccount_test.cpp
@@ -126,12 +126,31 @@
     CHECK_MESSAGE(limits::relieveMemory(at(10), {0, megabyte}, receiving) == received, "a request that runs was ended first");
 }
 
+// Guards against requests that run being ended for input that no request has begun to use.
+TEST_CASE("pipelined input is dropped, the largest first, before requests are refused or ended")
+{
+    std::vector<MemoryHolder> holders{holder(1, MemoryPhase::Running, 0, 0),
+                                      holder(2, MemoryPhase::Running, 5, 5),
+                                      holder(3, MemoryPhase::Receiving, 9, 9.9),
+                                      holder(4, MemoryPhase::Running, 7, 7)};
+    holders[0].inputBytes = megabyte / 2;
+    holders[3].inputBytes = megabyte;
+    const std::vector<MemoryReliefStep> largest{{4, MemoryRelief::DropInput}};
+    CHECK(limits::relieveMemory(at(10), {0, megabyte}, holders) == largest);
+    CHECK(limits::relieveMemory(at(10), {megabyte, 0}, holders) == largest);
+    const std::vector<MemoryReliefStep> all{
+        {4, MemoryRelief::DropInput}, {1, MemoryRelief::DropInput}, {3, MemoryRelief::Refuse}, {4, MemoryRelief::AbortRunning}};
+    CHECK(limits::relieveMemory(at(10), {0, 3 * megabyte}, {holders[0], holders[1], holders[2], holders[3]}) == all);
+}
+
 // Guards against callers that use up the descriptors that upstreams and the process itself need.
 TEST_CASE("callers get a share of the descriptors")
 {
     const limits::DescriptorShares shares = limits::descriptorSharesFor(4100);
     CHECK(shares == limits::DescriptorShares{});
-    CHECK(2 * shares.callers + shares.idleUpstreams + 700 <= 3900);
+    constexpr std::size_t otherPorts = 3;
+    constexpr std::size_t storeCalls = 100;
+    CHECK(2 * shares.callers + shares.idleUpstreams + shares.directory + otherPorts * shares.calls + storeCalls <= 3900);
     CHECK(limits::descriptorSharesFor(100).callers > 0);
 }
 
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -308,3 +308,27 @@
     }));
 }
 
+// Guards against pipelined input that holds memory until requests that run are ended for it.
+TEST_CASE("input that is dropped for memory leaves the request before it, and the connection closes after its answer")
+{
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(megabyte, 'x'));
+    REQUIRE(caller.waitUntil([&] {
+        return caller.requests == 1;
+    }));
+    caller.call([&](proxy::CallerConnection &connection) {
+        CHECK(connection.memoryHolder(1, 0).inputBytes > 0);
+        connection.endForMemory(limits::MemoryRelief::DropInput);
+        CHECK_MESSAGE(connection.memoryHolder(1, 0).inputBytes == 0, "the input is still held");
+        CHECK_MESSAGE(connection.busy(), "the request was ended");
+        connection.reply(200, {}, "done");
+    });
+    const std::string answer = caller.received();
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+    CHECK_MESSAGE(answer.find("\r\nConnection: close\r\n") != std::string::npos, "the caller would wait for the second answer");
+    caller.shutDown();
+    CHECK(caller.waitUntil([&] {
+        return caller.ended.load();
+    }));
+    CHECK_MESSAGE(caller.requests == 1, "a request behind the dropped input was begun");
+}
--- a/test/overload/overload_test.cpp
+++ b/test/overload/overload_test.cpp
@@ -270,6 +270,43 @@
     checkSurvival(process, limits);
 }
 
+// Guards against requests at an upstream that are ended for the memory of input behind other callers' requests.
+TEST_CASE("requests that run are answered while many callers pipeline more than fits")
+{
+    constexpr std::size_t running = 6;
+    constexpr std::size_t pipelining = 500;
+    constexpr std::size_t pipelinedBytes = std::size_t{300} * 1024;
+    ProcessLimits limits;
+    limits.descriptors = 4100;
+    ProxyProcess process(limits);
+    std::vector<std::future<std::string>> answers;
+    for (std::size_t number = 0; number < running; ++number) {
+        answers.push_back(std::async(std::launch::async, [&process, number] {
+            standins::RawClient client(process.callersPort(), 20000);
+            client.send(requestHead("POST", "/once/slow", number, "Content-Length: 4\r\n") + "body");
+            return client.receiveAnswer();
+        }));
+    }
+    while (process.alive() && process.received("/slow") < running) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    Crowd crowd(process.callersPort(), largePieceBytes);
+    const std::string first = requestHead("GET", "/safe/slow", running, {});
+    std::string behind;
+    while (behind.size() < pipelinedBytes) {
+        behind += requestHead("GET", "/safe/crowd", running, {});
+    }
+    const auto block = std::make_shared<const std::string>(std::move(behind));
+    for (std::size_t number = 0; number < pipelining; ++number) {
+        crowd.add({first, block, 1});
+    }
+    crowd.run();
+    for (auto &answer : answers) {
+        CHECK(answer.get().starts_with("HTTP/1.1 200"));
+    }
+    checkSurvival(process, limits);
+}
+
 // Guards against a bound on the connections of the requests' port alone: callers also connect to the directory.
 TEST_CASE("more connections to the directory than descriptors leave room for an ordinary caller")
 {
