Spread coverage of urgent upstreams over a tenth of a second

Cause: from 1.6 s of idle time on, every request of every instance went to the idle upstream until the instances had heard of the first one. On a service with hundreds of requests a second that sent several requests to an upstream that is likely gray where one was needed.

Change: from 1.5 s on the fleet sends about one request per 0.1 s for each such upstream; from 1.7 s on any request covers it.

--- a/src/fleet/upstreamcoverage.cpp
+++ b/src/fleet/upstreamcoverage.cpp
@@ -15,8 +15,11 @@
  * to cover it with a probability that should send one within floorSpreadTime. */
 constexpr Duration floorIdleTime = std::chrono::milliseconds{1300};
 constexpr Duration floorSpreadTime = std::chrono::milliseconds{250};
-/** From this idle time on, any request covers it. */
-constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1600};
+/** From this idle time on, the request should be sent sooner. */
+constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1500};
+constexpr Duration floorUrgentSpreadTime = std::chrono::milliseconds{100};
+/** From this idle time on, any request covers it: the true idle time may be longer by the interval of load reports. */
+constexpr Duration floorLatestIdleTime = std::chrono::milliseconds{1700};
 /** Maximum share of requests used for coverage, unless the floor is at stake. */
 constexpr double maximumCoverageShare = 0.45;
 /** Upstreams with a higher probability of a gray failure are not due for requests. By the time the probability has decayed to
@@ -81,13 +84,18 @@
     const auto end = m_idleTimes.begin() + static_cast<std::ptrdiff_t>(std::min(needed, m_idleTimes.size()));
     std::nth_element(m_idleTimes.begin(), end, m_idleTimes.end());
     int missing = 0;
+    int urgent = 0;
     for (auto idle = m_idleTimes.begin(); idle != end; ++idle) {
-        if (*idle >= floorUrgentIdleTime) {
+        if (*idle >= floorLatestIdleTime) {
             return 1;
         }
         missing += *idle >= floorIdleTime ? 1 : 0;
+        urgent += *idle >= floorUrgentIdleTime ? 1 : 0;
     }
-    return std::min(maximumCoverageShare, missing / std::max(1.0, request.requestsPerSecond * toSeconds(floorSpreadTime)));
+    // All instances see the same idle upstreams until they hear that one of them has sent a request there.
+    const double spread = missing / std::max(1.0, request.requestsPerSecond * toSeconds(floorSpreadTime));
+    const double urgentSpread = urgent / std::max(1.0, request.requestsPerSecond * toSeconds(floorUrgentSpreadTime));
+    return std::max(std::min(maximumCoverageShare, spread), std::min(1.0, urgentSpread));
 }
 
 } // namespace jackdawdoor::fleet
