Remove an upstream that a state lists only from an earlier history

Cause: a full state removes the known entries that it does not list, and went by the id alone.

Change: an entry of an earlier history than that of the state does not count as listed. The new case fails on the former code.

--- a/src/fleet/upstreamcatalogue.cpp
+++ b/src/fleet/upstreamcatalogue.cpp
@@ -199,7 +199,10 @@
     bool changed = false;
     std::set<UpstreamId> listed;
     for (const UpstreamEntry &entry : entries) {
-        listed.insert(entry.id);
+        // An entry of an earlier history awaits confirmation at the sender. It is no record of the state's own history.
+        if (compareHistories(entry.position, through) != HistoryOrder::Earlier) {
+            listed.insert(entry.id);
+        }
         changed = apply(entry, absent) != CatalogueChange::Nothing || changed;
     }
     std::vector<UpstreamEntry> gone;
--- a/test/correctness/catalogueorder_test.cpp
+++ b/test/correctness/catalogueorder_test.cpp
@@ -259,6 +259,17 @@
     CHECK(!isNewer({false, {5, 3}, std::nullopt}, {true, {5, 3}, StorePosition{1, 10}}));
 }
 
+// Guards against an instance that keeps a removed upstream: the sender of the state still waits for the confirmation of an entry of
+// the store's former history, and the receiver has read a later one of the present history.
+TEST_CASE("a state that lists only an unconfirmed entry of an upstream removes a later entry that it covers")
+{
+    UpstreamCatalogue catalogue;
+    catalogue.apply(entryAt("u", 4, StorePosition{2, 2}));
+    CHECK(catalogue.replace({entryAt("u", 3, StorePosition{1, 2})}, StorePosition{2, 5}));
+    CHECK_MESSAGE(catalogue.find(UpstreamId{"u"}) == nullptr, "the upstream stays");
+    CHECK_MESSAGE(catalogue.apply(entryAt("u", 4, StorePosition{2, 2})) == CatalogueChange::Nothing, "a late entry brings it back");
+}
+
 TEST_CASE("a removal of an unknown upstream keeps a late older entry out")
 {
     UpstreamCatalogue catalogue;
