Do not count a request that did not arrive as use of its upstream

Cause: an instance tells the others of a request to an idle upstream before its connection is open. If it is cut off from the upstream, the request ends after 250 ms, and no instance covers the upstream for another 1.3 s or more.

Ruled out: coverage that stops (120 of about 120 ready upstreams were chosen in each two seconds), the choice of the floor's candidates (2 of 41 upstreams without a connect timeout had a gap of over 2 s).

Change: such a request is told to the others in the next notice, and the upstream counts as idle again, at most twice in a row; after that it counts as used as before, so that upstreams that are gone do not cost more than two further attempts.

--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -46,12 +46,15 @@
     json out = json::array();
     for (const NoticeItem &item : notice.items) {
         json fields = json::array({item.key, item.failures, item.begun});
-        if (item.rateLimit || item.leaving) {
-            // Instances of an earlier version ignore a limit that is not a number, and the field after it.
+        if (item.rateLimit || item.leaving || item.unreached > 0) {
+            // Instances of an earlier version ignore a limit that is not a number, and the fields after it.
             fields.push_back(item.rateLimit.value_or(std::numeric_limits<double>::quiet_NaN()));
         }
-        if (item.leaving) {
-            fields.push_back(true);
+        if (item.leaving || item.unreached > 0) {
+            fields.push_back(item.leaving);
+        }
+        if (item.unreached > 0) {
+            fields.push_back(item.unreached);
         }
         out.push_back(std::move(fields));
     }
@@ -181,6 +184,8 @@
             decoded.rateLimit = limit;
         }
         decoded.leaving = item.size() > leavingIndex && item.at(leavingIndex).get<bool>();
+        constexpr std::size_t unreachedIndex = 5;
+        decoded.unreached = item.size() > unreachedIndex ? item.at(unreachedIndex).get<int>() : 0;
         notice.items.push_back(decoded);
     }
     return notice;
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -72,6 +72,7 @@
     int begun = 0; ///< requests to a rate-limited upstream, or to one that no instance had used recently
     std::optional<double> rateLimit = std::nullopt; ///< requests a second for the whole fleet, or noRateLimit
     bool leaving = false; ///< the upstream has announced that its process is about to end
+    int unreached = 0; ///< requests, counted as begun before, whose connection did not open
 
     bool operator==(const NoticeItem &) const = default;
 };
--- a/src/fleet/noticequeue.cpp
+++ b/src/fleet/noticequeue.cpp
@@ -14,6 +14,7 @@
     waiting.failures += item.failures;
     waiting.begun += item.begun;
     waiting.leaving = waiting.leaving || item.leaving;
+    waiting.unreached += item.unreached;
     waiting.rateLimit = item.rateLimit ? item.rateLimit : waiting.rateLimit;
 }
 
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -15,6 +15,8 @@
 /** Initial backoff of an unreachable upstream; doubles with each consecutive failure. */
 constexpr Duration unreachableBackoff = std::chrono::milliseconds{400};
 constexpr int maximumBackoffDoublings = 3;
+/** With a quarter of the instances cut off from an upstream, three that try it in turn all fail once in 64 times. */
+constexpr int maximumUnreachedInRow = 2;
 /** Outlasts the stale entry, which is removed after three missed reports, about 4.5 s after the last one. */
 constexpr Duration misdirectedBackoff = std::chrono::seconds{5};
 /** Other instances are told at once of a request to an upstream that was idle for longer. Below the idle times from which
@@ -114,11 +116,38 @@
     return idle ? std::optional(NoticeItem{record.key, 0, 1}) : std::nullopt;
 }
 
-void UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
+std::optional<NoticeItem>
+UpstreamTable::endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration)
 {
-    if (UpstreamRecord *record = find(id, incarnation)) {
-        record->ownInFlight = std::max(0, record->ownInFlight - 1);
-        applyOutcome(now, *record, outcome, duration);
+    UpstreamRecord *record = find(id, incarnation);
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    record->ownInFlight = std::max(0, record->ownInFlight - 1);
+    applyOutcome(now, *record, outcome, duration);
+    if (outcome == AttemptOutcome::Unreachable) {
+        recordUnreached(*record, 1);
+        return NoticeItem{record->key, 0, 0, std::nullopt, false, 1};
+    }
+    if (outcome != AttemptOutcome::Abandoned && outcome != AttemptOutcome::Misdirected) {
+        recordReached(now, *record);
+    }
+    return std::nullopt;
+}
+
+void UpstreamTable::recordReached(TimePoint now, UpstreamRecord &record)
+{
+    record.lastReached = now;
+    record.unreachedInRow = 0;
+}
+
+/** A request that did not arrive does not count as use, so that an instance with another path to the upstream sends one. After a
+ * few in a row the upstream is taken for gone, since each of them delays its caller. */
+void UpstreamTable::recordUnreached(UpstreamRecord &record, int requests)
+{
+    record.unreachedInRow += requests;
+    if (record.unreachedInRow <= maximumUnreachedInRow) {
+        record.lastUsed = std::min(record.lastUsed, record.lastReached);
     }
 }
 
@@ -191,6 +220,9 @@
         if (UpstreamRecord *record = findKey(item.key)) {
             record->grayEstimate.addSuccesses(now, item.successes);
             record->lastUsed = item.begun > 0 ? now : record->lastUsed;
+            if (item.successes > 0) {
+                recordReached(now, *record);
+            }
         }
     }
 }
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -46,6 +46,8 @@
     AnnouncedState announced;
     double meanLatencySeconds = 0; ///< moving mean over successful answers; zero before the first
     TimePoint lastUsed{}; ///< last request of any instance; the epoch before the first
+    TimePoint lastReached{}; ///< last sign that a request of any instance has arrived there
+    int unreachedInRow = 0; ///< requests of all instances that did not arrive since the last one that did
     int unreportedSuccesses = 0; ///< own successes since the last load report
     int unreportedBegun = 0; ///< own attempts since the last load report
 
@@ -88,8 +90,10 @@
      * an upstream that was idle, which they would choose for the same reason, or that is rate-limited. */
     std::optional<NoticeItem> beginAttempt(TimePoint now, UpstreamRecord &record);
 
-    /** Records the end of an attempt. Takes an id, because the record may have been removed in the meantime. */
-    void endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration);
+    /** Records the end of an attempt. Takes an id, because the record may have been removed in the meantime. Returns what the other
+     * instances should know: that the request did not arrive, so that one of them can send one in its place. */
+    std::optional<NoticeItem>
+    endAttempt(TimePoint now, const UpstreamId &id, std::int64_t incarnation, AttemptOutcome outcome, Duration duration);
 
     /** Records that an attempt is overdue, which counts as a failure. Must be called at most once per attempt. */
     void recordOverdue(TimePoint now, const UpstreamId &id, std::int64_t incarnation);
@@ -145,6 +149,8 @@
     void applyLoad(const PeerLoad &load, int sign);
     void applyOutcome(TimePoint now, UpstreamRecord &record, AttemptOutcome outcome, Duration duration);
     static void recordUnreachable(TimePoint now, UpstreamRecord &record);
+    static void recordReached(TimePoint now, UpstreamRecord &record);
+    static void recordUnreached(UpstreamRecord &record, int requests);
     UpstreamRecord *findKey(std::uint32_t key);
 
     std::map<UpstreamId, UpstreamRecord> m_records;
--- a/src/fleet/upstreamtableannouncements.cpp
+++ b/src/fleet/upstreamtableannouncements.cpp
@@ -115,6 +115,12 @@
         if (item.failures > 0 || item.begun > 0) {
             record->lastUsed = now;
         }
+        if (item.failures > 0) {
+            recordReached(now, *record);
+        }
+        if (item.unreached > 0) {
+            recordUnreached(*record, item.unreached);
+        }
         FleetRateLimit &limit = record->announced.rateLimit;
         if (item.rateLimit == noRateLimit) {
             limit.clear();
--- a/src/proxy/exchangeevidence.cpp
+++ b/src/proxy/exchangeevidence.cpp
@@ -38,7 +38,9 @@
 {
     const fleet::UpstreamEntry &upstream = attempt.upstream();
     const std::uint32_t key = fleet::upstreamKey(upstream.id, upstream.incarnation);
-    m_context.upstreams.endAttempt(now, upstream.id, upstream.incarnation, outcome, attempt.age(now));
+    if (const auto notice = m_context.upstreams.endAttempt(now, upstream.id, upstream.incarnation, outcome, attempt.age(now))) {
+        m_context.reportEvents(*notice);
+    }
     if (outcome == fleet::AttemptOutcome::Failed || outcome == fleet::AttemptOutcome::TimedOut) {
         m_context.reportEvents({key, 1, 0});
     }
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -225,6 +225,34 @@
     CHECK_MESSAGE(used.size() >= 14, "only " << used.size() << " of 20 upstreams got new requests");
 }
 
+// Guards against an upstream that gets no request for seconds, because an instance that cannot connect to it counts as having used it.
+TEST_CASE("a request that does not reach an idle upstream does not count as its use, unless several in a row do not")
+{
+    const std::vector<UpstreamEntry> entries = makeEntries(1);
+    const UpstreamId id = entries[0].id;
+    UpstreamTable cutOff;
+    UpstreamTable other;
+    cutOff.setEntries(start, entries);
+    other.setEntries(start, entries);
+    other.beginAttempt(start, *other.find(id, 1));
+    other.endAttempt(start, id, 1, AttemptOutcome::Answered, milliseconds{50});
+    TimePoint now = start + seconds{2};
+    for (const bool countsAsUse : {false, false, true}) {
+        const auto begun = cutOff.beginAttempt(now, *cutOff.find(id, 1));
+        other.applyNotice(now, {{begun.value_or(NoticeItem{cutOff.find(id, 1)->key, 0, 1})}});
+        CHECK(other.find(id, 1)->lastUsed == now);
+        const auto unreached = cutOff.endAttempt(now, id, 1, AttemptOutcome::Unreachable, milliseconds{250});
+        REQUIRE(unreached.has_value());
+        other.applyNotice(now, {{*unreached}});
+        CHECK((other.find(id, 1)->lastUsed == now) == countsAsUse);
+        now += milliseconds{300};
+    }
+    other.applyNotice(now, {{{upstreamKey(id, 1), 1, 0}}});
+    CHECK_MESSAGE(other.find(id, 1)->unreachedInRow == 0, "an answer does not end the row");
+    const FleetDatagram datagram{{InstanceId{"i"}, 1}, UpstreamNotice{{{7, 0, 0, std::nullopt, false, 2}}}};
+    CHECK(std::get<UpstreamNotice>(decodeDatagram(encodeDatagram(datagram))->message) == std::get<UpstreamNotice>(datagram.message));
+}
+
 TEST_CASE("a draining, unreachable, misdirected or excluded upstream is not chosen, and a full one gives no-room")
 {
     UpstreamTable table;
