Let less urgent requests yield when a service lacks capacity

Load: requests of several priorities on one service that together exceed its capacity, such as a burst of one organisation. Without a significant share of more urgent requests nothing changes. A request is no longer queued at an upstream where its deadline would pass before its turn.

--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -51,10 +51,16 @@
     return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) != request.excluded.end();
 }
 
-bool hasRoom(TimePoint now, const UpstreamRecord &record, int inFlight)
+/** True if the upstream can take one more request: its queue is short enough for this request, and the request would not wait
+ * there for longer than its time. */
+bool hasRoom(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, int inFlight, double medianLatencySeconds)
 {
-    const double limit = record.entry.slots * (1 + maximumQueuePerSlot);
-    return now >= record.fullUntil && inFlight < limit;
+    const double limit = record.entry.slots * (1 + maximumQueuePerSlot * request.queueShare);
+    if (now < record.fullUntil || inFlight >= limit) {
+        return false;
+    }
+    const double rounds = (inFlight + 1.0) / std::max(1, record.entry.slots);
+    return rounds <= 1 || rounds * medianLatencySeconds <= toSeconds(request.timeLeft);
 }
 
 double loadCost(const UpstreamRecord &record, int inFlight)
@@ -160,7 +166,7 @@
             continue;
         }
         const bool leftToOthers = record->announced.rateLimit.active() && uniform(random) >= admission;
-        if (!hasRoom(now, *record, record->inFlight()) || leftToOthers) {
+        if (!hasRoom(now, *record, request, record->inFlight(), medianLatencySeconds) || leftToOthers) {
             canHaveRoomSoon = true;
             continue;
         }
@@ -172,7 +178,7 @@
     const auto costWithLoad = [&](std::size_t index, int additional) -> std::optional<double> {
         const auto &[record, cost] = candidates[index];
         const int inFlight = record->inFlight() + additional;
-        if (!hasRoom(now, *record, inFlight)) {
+        if (!hasRoom(now, *record, request, inFlight, medianLatencySeconds)) {
             return std::nullopt;
         }
         return cost + costOfLoad(*record, inFlight, request, medianLatencySeconds);
--- a/src/fleet/upstreamchoice.h
+++ b/src/fleet/upstreamchoice.h
@@ -30,6 +30,7 @@
     Duration timeLeft = Duration::max(); ///< until the answer is needed
     std::size_t bodyBytes = 0; ///< of the request
     Duration objectiveLeft = Duration::max(); ///< until the answer is late; the maximum without an objective, or once it is missed
+    double queueShare = 1; ///< of the room for queued requests at each upstream that this request may use
 };
 
 /** True if a failed attempt can be followed by another one. */
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -117,7 +117,7 @@
     if (!admitByQuota(now)) {
         return;
     }
-    m_context.countRequest(now, m_service);
+    m_context.countRequest(now, m_service, priority());
     m_counted = true;
     m_timer.set(m_deadline - now);
     tryAttempt(now);
@@ -130,6 +130,11 @@
     return route().latencyObjective > Duration::zero() && left > Duration::zero() ? left : Duration::max();
 }
 
+limits::CapacityUse Exchange::capacityUse(TimePoint now)
+{
+    return limits::capacityUseFor(m_context.priorityDemand[m_service].moreUrgentShare(now, priority()));
+}
+
 fleet::UpstreamChoice Exchange::choose(TimePoint now)
 {
     limits::FleetRetryBudget &budget = m_context.budgetOf(m_service);
@@ -142,7 +147,8 @@
                                              budget.allows(now),
                                              m_deadline - now,
                                              m_request.body.size(),
-                                             objectiveLeft(now)};
+                                             objectiveLeft(now),
+                                             capacityUse(now).queueShare};
     return fleet::chooseUpstream(now, m_context.upstreams, choiceRequest, m_context.random);
 }
 
@@ -174,6 +180,11 @@
         fail(now, badGateway, fleet::reasonName(choice.reason));
         return;
     }
+    if (choice.reason == fleet::ChoiceReason::NoRoom) {
+        const Duration least = fromSeconds(toSeconds(minimumRetryAfter) * capacityUse(now).retryAfterFactor);
+        refuse(now, fleet::reasonName(choice.reason), std::max(choice.retryAfter, least));
+        return;
+    }
     refuse(now, fleet::reasonName(choice.reason), choice.retryAfter);
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -13,6 +13,9 @@
 
 namespace jackdawdoor::proxy {
 
+/** Least Retry-After of a refusal: late enough that a slot is free, early enough for another attempt within the deadline. */
+constexpr Duration minimumRetryAfter = std::chrono::milliseconds{250};
+
 /** Runs the attempts of a request. Owned by ProxyServer; one per connection at a time. */
 class Exchange
 {
@@ -48,6 +51,7 @@
 
 private:
     Duration objectiveLeft(TimePoint now) const;
+    limits::CapacityUse capacityUse(TimePoint now);
     bool authenticate(TimePoint now, std::string_view host, std::string_view path);
     CallerIdentity callerIdentity() const;
     bool admitByQuota(TimePoint now);
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -13,9 +13,7 @@
 constexpr int firstFailureStatus = 500;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
-/** Retry-After of a refusal, with random jitter: late enough that a slot is free, early enough for another attempt within the
- * deadline. */
-constexpr double minimumRetryAfterSeconds = 0.25;
+/** Random jitter of the Retry-After of a refusal. */
 constexpr double retryAfterSpreadSeconds = 0.5;
 /** Callers that wait longer than this would miss an upstream that recovers. */
 constexpr double maximumRetryAfterSeconds = 5;
@@ -92,7 +90,7 @@
 void Exchange::refuse(TimePoint now, const char *reason, Duration retryAfter)
 {
     net::Headers headers = ownHeaders();
-    const double seconds = std::clamp(toSeconds(retryAfter), minimumRetryAfterSeconds, maximumRetryAfterSeconds);
+    const double seconds = std::clamp(toSeconds(retryAfter), toSeconds(minimumRetryAfter), maximumRetryAfterSeconds);
     headers.push_back({"Retry-After", secondsText(seconds + retryAfterSpreadSeconds * uniform(m_context.random))});
     m_caller.reply(unavailable, headers, "not run\n");
     giveBackQuota(now);
--- a/src/proxy/requestcontext.cpp
+++ b/src/proxy/requestcontext.cpp
@@ -31,8 +31,9 @@
     return budgets.try_emplace(service, retryLimits).first->second;
 }
 
-void RequestContext::countRequest(TimePoint now, const ServiceId &service)
+void RequestContext::countRequest(TimePoint now, const ServiceId &service, int priority)
 {
+    priorityDemand[service].add(now, priority);
     budgetOf(service).onOriginal(now);
     failureShares[service].addRequests(now, 1);
 }
--- a/src/proxy/requestcontext.h
+++ b/src/proxy/requestcontext.h
@@ -9,6 +9,7 @@
 #include "limits/callershare.h"
 #include "limits/fleetretrybudget.h"
 #include "limits/memoryaccount.h"
+#include "limits/scarcecapacity.h"
 #include "net/eventloop.h"
 #include "proxy/connectionpool.h"
 #include "proxy/crashdetector.h"
@@ -37,6 +38,7 @@
     std::map<ServiceId, limits::FleetRetryBudget> budgets{};
     limits::FleetRetryLimits retryLimits{};
     std::map<ServiceId, fleet::FailureShare> failureShares{};
+    std::map<ServiceId, limits::PriorityDemand> priorityDemand{};
     RandomSource random;
     ProxyMetrics metrics{};
     CrashDetector crashes;
@@ -59,7 +61,7 @@
     limits::FleetRetryBudget &budgetOf(const ServiceId &service);
 
     /** Counts a new request of a service. */
-    void countRequest(TimePoint now, const ServiceId &service);
+    void countRequest(TimePoint now, const ServiceId &service, int priority);
 
     /** Share of the service's ready upstreams that must get requests: all of them while many of its requests fail. */
     double floorShareOf(const ServiceId &service) const;
