--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -17,29 +17,9 @@
 
 /** Longer than callers wait for an answer, so that packet loss alone does not end a connection that still awaits one. */
 constexpr std::chrono::seconds callerPeerTimeout{15};
-/** A refused caller may go on sending for this long, so that it reads the answer before the connection ends. */
-constexpr Duration lingerTime = std::chrono::seconds{2};
 /** A request whose body stops for this long is answered 408. */
 constexpr Duration bodyIdleTimeout = std::chrono::seconds{15};
 
-void appendHead(std::string &out, int status, const net::Headers &headers)
-{
-    out += "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-    for (const net::Header &header : headers) {
-        out += header.name;
-        out += ": ";
-        out += header.value;
-        out += "\r\n";
-    }
-}
-
-std::string chunkHead(std::size_t size)
-{
-    char text[24];
-    const int length = std::snprintf(text, sizeof(text), "%zx\r\n", size);
-    return {text, static_cast<std::size_t>(length)};
-}
-
 /** Size of a head in bytes, without the fixed parts of its first line. */
 std::size_t headSize(const MessageHead &head)
 {
@@ -50,13 +30,6 @@
     return size;
 }
 
-bool hasBody(int status)
-{
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return status != noContent && status != notModified;
-}
-
 } // namespace
 
 const char *reasonPhrase(int status)
@@ -220,132 +193,6 @@
     reply(status, answerHeaders, std::string(reason) + "\n");
 }
 
-void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
-{
-    if (!m_busy || m_ended) {
-        return;
-    }
-    std::string out = replyHead(status, headers, body.size());
-    if (!m_noBody && hasBody(status)) {
-        out += body;
-    }
-    write(out);
-    answerEnded();
-}
-
-void CallerConnection::reply(int status, const net::Headers &headers, const Body &body)
-{
-    if (!m_busy || m_ended) {
-        return;
-    }
-    const std::string out = replyHead(status, headers, body.size());
-    write(out);
-    if (!m_noBody && hasBody(status)) {
-        write(body);
-    }
-    answerEnded();
-}
-
-std::string CallerConnection::replyHead(int status, const net::Headers &headers, std::size_t length) const
-{
-    std::string out;
-    out.reserve(512);
-    appendHead(out, status, headers);
-    if (hasBody(status)) {
-        out += "Content-Length: " + std::to_string(length) + "\r\n";
-    }
-    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    return out;
-}
-
-void CallerConnection::start(int status, const net::Headers &headers, std::optional<std::uint64_t> length)
-{
-    std::string out;
-    appendHead(out, status, headers);
-    m_chunked = !length && !m_http10;
-    m_closeAfterAnswer = m_closeAfterAnswer || (!length && m_http10);
-    if (length) {
-        out += "Content-Length: " + std::to_string(*length) + "\r\n";
-    } else if (m_chunked) {
-        out += "Transfer-Encoding: chunked\r\n";
-    }
-    out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-    write(out);
-}
-
-void CallerConnection::sendBody(std::string_view bytes)
-{
-    if (m_ended || m_noBody || bytes.empty()) {
-        return;
-    }
-    if (m_chunked) {
-        const std::string head = chunkHead(bytes.size());
-        write(head);
-    }
-    write(bytes);
-    if (m_chunked) {
-        write("\r\n");
-    }
-}
-
-void CallerConnection::sendBody(const Body &body)
-{
-    if (m_ended || m_noBody || body.empty()) {
-        return;
-    }
-    if (m_chunked) {
-        write(chunkHead(body.size()));
-    }
-    write(body);
-    if (m_chunked) {
-        write("\r\n");
-    }
-}
-
-void CallerConnection::finish()
-{
-    if (m_ended) {
-        return;
-    }
-    if (m_chunked && !m_noBody) {
-        constexpr std::string_view last = "0\r\n\r\n";
-        write(last);
-    }
-    answerEnded();
-}
-
-void CallerConnection::answerEnded()
-{
-    m_busy = false;
-    m_progressed = net::now();
-    m_chunked = false;
-    if (m_closeAfterAnswer) {
-        m_closing = true;
-        if (evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
-            closeAfterAnswer();
-        } else {
-            armIdleTimer();
-        }
-        return;
-    }
-    armIdleTimer();
-    m_loop.post([this, alive = m_alive] {
-        if (*alive) {
-            readInput();
-        }
-    });
-}
-
-void CallerConnection::closeAfterAnswer()
-{
-    if (!m_discarding) {
-        scheduleEnd();
-        return;
-    }
-    shutdown(bufferevent_getfd(m_socket), SHUT_WR);
-    m_timer.set(lingerTime);
-}
-
 void CallerConnection::abort()
 {
     if (m_ended) {
--- /dev/null
+++ b/src/proxy/gatewaystop.cpp
@@ -0,0 +1,55 @@
+// Gateway: the graceful stop.
+#include "proxy/gateway.h"
+#include "telemetry/boundedlog.h"
+#include "telemetry/log.h"
+
+namespace jackdawdoor::proxy {
+
+using telemetry::LogLevel;
+
+namespace {
+
+/** New requests are still accepted for this long after the stop signal, while callers learn that this instance leaves. */
+constexpr Duration stopAdmissionPeriod = std::chrono::milliseconds{2600};
+/** Remaining grace period at which requests in progress get their final answer. */
+constexpr Duration finalAnswerReserve = std::chrono::milliseconds{450};
+/** Remaining grace period at which the process exits even with undelivered answers; longer than a tick. */
+constexpr Duration exitReserve = std::chrono::milliseconds{150};
+
+} // namespace
+
+void Gateway::beginStop(std::function<void()> onStopped)
+{
+    if (m_onStopped != nullptr) {
+        return;
+    }
+    m_onStopped = std::move(onStopped);
+    m_stopBegin = net::now();
+    telemetry::writeLog(LogLevel::Info, "stop", "draining", {{"requests", std::to_string(m_proxy.requests())}});
+    sendMembership(m_membership.beginLeave(m_stopBegin));
+    m_proxy.beginStop();
+}
+
+void Gateway::advanceStop(TimePoint now)
+{
+    const Duration elapsed = now - m_stopBegin;
+    if (elapsed >= stopAdmissionPeriod) {
+        m_context.stopping = true;
+        m_context.quotas.leave(now);
+        m_proxy.closeIdle();
+    }
+    if (elapsed >= m_settings.stopGracePeriod - finalAnswerReserve) {
+        m_proxy.endRequests();
+    }
+    const bool finished = m_proxy.requests() == 0 && m_proxy.unsentAnswers() == 0;
+    if (m_context.stopping && (finished || elapsed >= m_settings.stopGracePeriod - exitReserve)) {
+        telemetry::writeLog(finished ? LogLevel::Info : LogLevel::Warning,
+                            "stop",
+                            finished ? "all requests have ended" : "the grace period is over",
+                            {{"undelivered", std::to_string(m_proxy.unsentAnswers())}});
+        telemetry::flushLog();
+        m_onStopped();
+    }
+}
+
+} // namespace jackdawdoor::proxy
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -259,7 +259,7 @@
 TEST_CASE("pipelined requests wait while the caller does not read the answers before them")
 {
     constexpr int pipelined = 12;
-    constexpr std::size_t answerBytes = 600 * 1024;
+    constexpr std::size_t answerBytes = std::size_t{600} * 1024;
     CallerFixture caller(std::make_shared<limits::MemoryAccount>());
     caller.answer = [](proxy::CallerConnection &connection) {
         connection.reply(200, {}, std::string(answerBytes, 'a'));
@@ -289,7 +289,7 @@
     REQUIRE(caller.sendNow("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"));
     CHECK(caller.received().starts_with("HTTP/1.1 413 "));
     for (int block = 0; block < 32; ++block) {
-        REQUIRE_MESSAGE(caller.sendNow(std::string(64 * 1024, 'b')), "the connection was closed after " << block << " blocks");
+        REQUIRE_MESSAGE(caller.sendNow(std::string(std::size_t{64} * 1024, 'b')), "the connection was closed after " << block << " blocks");
     }
     CHECK_FALSE(caller.ended);
     caller.shutDown();
