--- a/src/fleet/failureshare.cpp
+++ b/src/fleet/failureshare.cpp
@@ -9,10 +9,10 @@
 
 /** That of the load reports, which bring the other instances' counts. */
 constexpr Duration bucketLength = std::chrono::milliseconds{200};
-/** The floor binds from a tenth; the known share is behind by the failures that have not been reported yet. */
-constexpr double elevatedShare = 0.09;
-/** A single failure says nothing about a service with few requests. */
-constexpr int minimumFailures = 2;
+/** The operator's floor binds from this share on. */
+constexpr double elevatedShare = 0.1;
+/** Fewer failures say nothing about a service with few requests. */
+constexpr int minimumFailures = 5;
 
 std::int64_t bucketNumber(TimePoint now)
 {
