Mend what a review of the change found

- A load report counted a request that did not arrive as use of its upstream, after the notice had taken that back.
- A call with a body to the peer port could wait for memory for ever: InstanceServer's connections take no memory from the account now, only the size of an answer is checked against it.
- After the output had drained, a connection that waited for memory could be parsed on without being read again.
- A connection whose input is dropped while it is not busy stayed open after its last answer (new case of callerlimits_test).
- A request that is rejected with its head complete could still be run.
- Input is dropped for an overdraft only, not for an upload that may wait.
- Failures of an instance that no longer serves, and answers that break off, count as failures of the service; counts in messages are bounded.
- Comments that were wrong or unclear.

--- a/bench/platform/servicemodel.cpp
+++ b/bench/platform/servicemodel.cpp
@@ -357,6 +357,7 @@
             unserved += end.served ? 0 : 1;
         }
         const double share = m_ends.empty() ? 0 : static_cast<double>(unserved) / static_cast<double>(m_ends.size());
+        // The operator's rule exempts a service none of whose counted upstreams is in use.
         const bool narrow = used > 0 && used < floorShare * static_cast<double>(counted);
         ++m_figures.windows;
         m_figures.narrowWindows += narrow ? 1 : 0;
--- a/src/fleet/failureshare.cpp
+++ b/src/fleet/failureshare.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-/** That of the load reports, which bring the other instances' counts. */
+/** Eight buckets make a window of 1.6 s, somewhat shorter than the 2 s over which the floor is judged. */
 constexpr Duration bucketLength = std::chrono::milliseconds{200};
-/** The operator's floor binds from this share on. */
+/** The operator's rule on the minimum share of upstreams in use applies from this share of failed requests. */
 constexpr double elevatedShare = 0.1;
 /** Fewer failures say nothing about a service with few requests. */
 constexpr int minimumFailures = 5;
+/** Higher counts in a message are not plausible, and sums of them could overflow. */
+constexpr int maximumCount = 1'000'000;
 
 std::int64_t bucketNumber(TimePoint now)
 {
@@ -33,7 +35,7 @@
 
 void FailureShare::addRequests(TimePoint now, int requests)
 {
-    bucketAt(now).requests += std::max(0, requests);
+    bucketAt(now).requests += std::clamp(requests, 0, maximumCount);
 }
 
 void FailureShare::addOwnFailure(TimePoint now)
@@ -44,7 +46,7 @@
 
 void FailureShare::addOtherFailures(TimePoint now, int failures)
 {
-    bucketAt(now).failures += std::max(0, failures);
+    bucketAt(now).failures += std::clamp(failures, 0, maximumCount);
 }
 
 int FailureShare::takeUnreportedFailures()
--- a/src/fleet/failureshare.h
+++ b/src/fleet/failureshare.h
@@ -35,7 +35,7 @@
     /** Evaluates the share. Returns true if elevated() has changed. */
     bool update(TimePoint now);
 
-    /** True if the share was high at the last update. */
+    /** True if the share was at least a tenth at the last update. */
     bool elevated() const;
 
 private:
@@ -47,7 +47,7 @@
 
     Bucket &bucketAt(TimePoint now);
 
-    static constexpr std::size_t bucketCount = 8;
+    static constexpr std::size_t bucketCount = 8; ///< a window of 1.6 s
     std::array<Bucket, bucketCount> m_buckets{};
     int m_unreported = 0;
     bool m_elevated = false;
--- a/src/fleet/upstreamchoice.cpp
+++ b/src/fleet/upstreamchoice.cpp
@@ -51,8 +51,8 @@
     return std::find(request.excluded.begin(), request.excluded.end(), record.entry.id) != request.excluded.end();
 }
 
-/** True if the upstream can take one more request: its queue is short enough for this request, and the request would not wait
- * there for longer than its time. */
+/** True if the upstream can take one more request: it has a free slot, or its queue is short enough for this request and the
+ * request is expected to be answered there within its time left. */
 bool hasRoom(TimePoint now, const UpstreamRecord &record, const ChoiceRequest &request, int inFlight, double medianLatencySeconds)
 {
     const double limit = record.entry.slots * (1 + maximumQueuePerSlot * request.queueShare);
--- a/src/fleet/upstreamcoverage.cpp
+++ b/src/fleet/upstreamcoverage.cpp
@@ -15,7 +15,7 @@
  * to cover it with a probability that should send one within floorSpreadTime. */
 constexpr Duration floorIdleTime = std::chrono::milliseconds{1300};
 constexpr Duration floorSpreadTime = std::chrono::milliseconds{250};
-/** From this idle time on, the request should be sent sooner. */
+/** From this idle time on, the probability is raised to send a request within floorUrgentSpreadTime. */
 constexpr Duration floorUrgentIdleTime = std::chrono::milliseconds{1500};
 constexpr Duration floorUrgentSpreadTime = std::chrono::milliseconds{100};
 /** From this idle time on, any request covers it: the true idle time may be longer by the interval of load reports. */
@@ -92,7 +92,7 @@
         missing += *idle >= floorIdleTime ? 1 : 0;
         urgent += *idle >= floorUrgentIdleTime ? 1 : 0;
     }
-    // All instances see the same idle upstreams until they hear that one of them has sent a request there.
+    // Divided by the fleet's request rate, since all instances see the same idle upstreams until a notice of a request arrives.
     const double spread = missing / std::max(1.0, request.requestsPerSecond * toSeconds(floorSpreadTime));
     const double urgentSpread = urgent / std::max(1.0, request.requestsPerSecond * toSeconds(floorUrgentSpreadTime));
     return std::max(std::min(maximumCoverageShare, spread), std::min(1.0, urgentSpread));
--- a/src/fleet/upstreamtable.cpp
+++ b/src/fleet/upstreamtable.cpp
@@ -15,7 +15,8 @@
 /** Initial backoff of an unreachable upstream; doubles with each consecutive failure. */
 constexpr Duration unreachableBackoff = std::chrono::milliseconds{400};
 constexpr int maximumBackoffDoublings = 3;
-/** With a quarter of the instances cut off from an upstream, three that try it in turn all fail once in 64 times. */
+/** Later failures in a row count as use. If a quarter of the instances cannot reach an upstream, three random ones all fail with a
+ * probability of 1/64. */
 constexpr int maximumUnreachedInRow = 2;
 /** Outlasts the stale entry, which is removed after three missed reports, about 4.5 s after the last one. */
 constexpr Duration misdirectedBackoff = std::chrono::seconds{5};
@@ -126,6 +127,7 @@
     record->ownInFlight = std::max(0, record->ownInFlight - 1);
     applyOutcome(now, *record, outcome, duration);
     if (outcome == AttemptOutcome::Unreachable) {
+        record->unreportedBegun = std::max(0, record->unreportedBegun - 1);
         recordUnreached(*record, 1);
         return NoticeItem{record->key, 0, 0, std::nullopt, false, 1};
     }
@@ -145,7 +147,7 @@
  * few in a row the upstream is taken for gone, since each of them delays its caller. */
 void UpstreamTable::recordUnreached(UpstreamRecord &record, int requests)
 {
-    record.unreachedInRow += requests;
+    record.unreachedInRow = std::min(record.unreachedInRow, maximumUnreachedInRow) + std::clamp(requests, 0, maximumUnreachedInRow + 1);
     if (record.unreachedInRow <= maximumUnreachedInRow) {
         record.lastUsed = std::min(record.lastUsed, record.lastReached);
     }
--- a/src/limits/memorypressure.cpp
+++ b/src/limits/memorypressure.cpp
@@ -66,7 +66,7 @@
     std::stable_sort(holders.begin(), holders.end(), [](const MemoryHolder &left, const MemoryHolder &right) {
         return left.inputBytes > right.inputBytes;
     });
-    freed = endWhile(steps, holders, MemoryRelief::DropInput, freed, wanted, [&steps](const MemoryHolder &holder) {
+    freed = endWhile(steps, holders, MemoryRelief::DropInput, freed, need.overdraft, [&steps](const MemoryHolder &holder) {
         return holder.phase != MemoryPhase::Receiving && std::none_of(steps.begin(), steps.end(), [&holder](const auto &step) {
                    return step.id == holder.id;
                });
--- a/src/limits/memorypressure.h
+++ b/src/limits/memorypressure.h
@@ -65,9 +65,9 @@
 };
 
 /** Returns the requests to end now, so that the needed bytes become free: first those whose body has stopped and then those
- * whose answer is not read, the longest first; then the input behind other requests is dropped, the largest first; then the
- * newest request that has waited too long is refused, one per call, since the others may do with its memory. For an overdraft, requests
- * that are being received are refused, and only then those that run are ended, the newest first. */
+ * whose answer is not read, the longest first. For an overdraft, the input behind other requests is dropped, the largest first.
+ * Then the newest request that has waited too long is refused, one per call, since the others may do with its memory. For an
+ * overdraft, requests that are being received are refused, and only then those that run are ended, the newest first. */
 std::vector<MemoryReliefStep> relieveMemory(TimePoint now, const MemoryNeed &need, std::vector<MemoryHolder> holders);
 
 } // namespace jackdawdoor::limits
--- a/src/limits/scarcecapacity.h
+++ b/src/limits/scarcecapacity.h
@@ -1,10 +1,9 @@
-/** Decides which requests give way when a service has too little capacity.
+/** Decides which requests yield when a service lacks capacity.
  *
- * Answers a load of requests with different priorities on one service that is larger than the service's capacity, such as a burst
- * of one organisation or a service that has lost many upstreams. Less urgent requests are not queued behind others at an
- * upstream, so that more urgent ones find its queue short: they wait at the instance for a free slot and are then refused, with a
- * later Retry-After. Each instance decides for itself, from the requests that it has received lately. A service all of whose
- * requests have the same priority is not affected.
+ * Used when the requests of a service exceed its capacity, for example in a burst from one organisation or after the loss of many
+ * upstreams. Less urgent requests may use only a small part of the queue at each upstream, so that more urgent ones find it short.
+ * When there is no room, they wait at the instance and are then refused with a longer Retry-After. Each instance decides for
+ * itself, from the requests that it has received lately. A service whose requests all have the same priority is not affected.
  */
 #pragma once
 
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -171,7 +171,7 @@
     m_http10 = m_request.head.http10;
     // readInput() has yet to drain the parsed input, so the hook runs from the loop.
     m_loop.post([this, alive = m_alive] {
-        if (*alive && !m_ended) {
+        if (*alive && !m_ended && !m_closing) { // not rejected after its end was read
             m_hooks.onRequest(*this, std::move(m_request));
         }
     });
@@ -233,8 +233,13 @@
 {
     auto *connection = static_cast<CallerConnection *>(self);
     connection->m_output.resize(0);
+    if (connection->m_ended) {
+        return;
+    }
     if (connection->m_closing && !connection->m_busy) {
         connection->closeAfterAnswer();
+    } else if (connection->m_waitingSince) {
+        connection->resumeReading();
     } else {
         connection->readInput();
     }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -44,8 +44,9 @@
     std::function<void(CallerConnection &, CallerRequest &&)> onRequest;
     std::function<void(CallerConnection &)> onGone; ///< the caller disconnected during a request
     std::function<void(CallerConnection &)> onEnd; ///< the owner should destroy the connection; called from the loop
-    std::function<void(CallerConnection &, int status, const char *reason)> onRejected; ///< malformed or too large
-    std::function<net::Headers(const MessageHead &)> rejectionHeaders{}; ///< of the answer to a rejected request; may be empty
+    std::function<void(CallerConnection &, int status, const char *reason)>
+        onRejected; ///< refused, or with status 0: an answer was aborted or input dropped
+    std::function<net::Headers(const MessageHead &)> rejectionHeaders{}; ///< further headers of the answer to a rejected request; optional
 };
 
 /** Connection accepted from a caller. */
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -148,6 +148,12 @@
         m_closeAfterAnswer = true;
         m_discarding = true;
         discardInput();
+        if (!m_busy) {
+            m_closing = true; // the answer before the dropped input is complete and is being sent
+            if (unsent() == 0) {
+                closeAfterAnswer();
+            }
+        }
         return;
     case limits::MemoryRelief::Refuse:
         reject(HTTP_STATUS_SERVICE_UNAVAILABLE, limits::memoryReliefName(relief), {{"Retry-After", memoryRetryAfter}});
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -105,6 +105,7 @@
     bool m_counted = false; ///< among the requests of its service
     bool m_chargedToQuota = false; ///< the organisation's quota has paid for the request
     bool m_mayHaveRun = false;
+    bool m_callerGone = false;
     bool m_done = false;
 };
 
--- a/src/proxy/exchangeanswers.cpp
+++ b/src/proxy/exchangeanswers.cpp
@@ -168,7 +168,8 @@
     if (m_attemptCount == 0) {
         giveBackQuota(now);
     }
-    if (m_counted && status >= firstFailureStatus) {
+    const bool brokenOff = status == 0 && !m_callerGone;
+    if (m_counted && (status >= firstFailureStatus || brokenOff)) {
         m_context.failureShares[m_service].addOwnFailure(now);
     }
     m_context.metrics.countRequest(reason, now - m_request.received);
@@ -190,6 +191,7 @@
 
 void Exchange::callerGone()
 {
+    m_callerGone = true;
     finish(net::now(), 0, "caller-gone");
 }
 
--- a/src/proxy/gatewaymessages.cpp
+++ b/src/proxy/gatewaymessages.cpp
@@ -47,7 +47,7 @@
         // An instance that begins to serve must be known to the others at once.
         const bool begins = report.serving && !m_serving;
         m_serving = report.serving;
-        const bool hasContent = report.serving || !report.items.empty() || !report.demand.empty();
+        const bool hasContent = report.serving || !report.items.empty() || !report.demand.empty() || !report.failures.empty();
         if (report.serving && (begins || now >= m_nextBroadcast)) {
             m_nextBroadcast = now + broadcastPeriod(m_membership.view()->members.size());
             broadcast(report);
--- a/src/proxy/instanceserver.cpp
+++ b/src/proxy/instanceserver.cpp
@@ -67,7 +67,7 @@
         }
         m_connections.erase(replaced);
     }
-    auto connection = std::make_unique<CallerConnection>(m_loop, socket, callLimits, m_hooks, m_memory);
+    auto connection = std::make_unique<CallerConnection>(m_loop, socket, callLimits, m_hooks);
     const CallerConnection *key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
--- a/src/proxy/instanceserver.h
+++ b/src/proxy/instanceserver.h
@@ -1,7 +1,7 @@
 /** HTTP server for calls that the instance answers itself: directory, readiness, metrics and copies of the store's contents.
  *
  * Its connections have the time limits of callers' connections and a bound on their number. When it is reached, a new connection
- * takes the place of an idle one or of one whose request has stood still, and is else closed.
+ * takes the place of an idle one or of one whose request has stood still; otherwise the new connection is closed.
  */
 #pragma once
 
@@ -29,7 +29,7 @@
     /** target: path and query of the call. */
     using Handler = std::function<CallAnswer(const std::string &target)>;
 
-    /** memory: account for the answers, for a server with large ones; may be null. */
+    /** memory: account that must have room for an answer, for a server with large ones; may be null. */
     InstanceServer(net::EventLoop &loop, Handler handler, std::shared_ptr<limits::MemoryAccount> memory = nullptr);
     ~InstanceServer();
     InstanceServer(const InstanceServer &) = delete;
--- a/test/correctness/scarcecapacity_test.cpp
+++ b/test/correctness/scarcecapacity_test.cpp
@@ -166,6 +166,7 @@
     }
 }
 
+// Guards against requests that are held back for a few urgent ones, or long after the urgent ones have ended.
 TEST_CASE("only a significant share of more urgent requests makes others yield, and it is forgotten soon")
 {
     constexpr TimePoint start{seconds{1000}};
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -332,3 +332,30 @@
     }));
     CHECK_MESSAGE(caller.requests == 1, "a request behind the dropped input was begun");
 }
+
+// Guards against a connection that stays open after its last answer, because the requests behind that answer were dropped.
+TEST_CASE("a connection whose input is dropped behind an unread answer ends when the answer has been read")
+{
+    constexpr std::size_t answerBytes = 4 * megabyte;
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    caller.answer = [](proxy::CallerConnection &connection) {
+        connection.reply(200, {}, std::string(answerBytes, 'a'));
+    };
+    caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.waitUntil([&] {
+        return caller.requests == 1;
+    }));
+    caller.call([&](proxy::CallerConnection &connection) {
+        connection.endForMemory(limits::MemoryRelief::DropInput);
+    });
+    std::size_t read = 0;
+    for (std::size_t size = 1; size > 0; read += size) {
+        size = caller.received().size();
+    }
+    CHECK(read > answerBytes);
+    caller.shutDown();
+    CHECK(caller.waitUntil([&] {
+        return caller.ended.load();
+    }));
+    CHECK(caller.requests == 1);
+}
