--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -2,10 +2,12 @@
 
 #include "platform/documents.h"
 #include "platform/names.h"
+#include "platform/storerecords.h"
 
 #include <nlohmann/json.hpp>
 
-#include <map>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jackdawdoor::platform {
@@ -16,6 +18,8 @@
 constexpr Duration callTimeout = std::chrono::milliseconds{1000};
 constexpr int ok = 200;
 constexpr int gone = 410;
+/** Reason of an error when the store no longer has the records that were asked for. */
+constexpr const char *goneReason = "gone";
 constexpr std::size_t maximumIdle = 2;
 /** Bounds how long a long poll on a dead connection can hide a change. */
 constexpr std::chrono::seconds storePeerTimeout{3};
@@ -25,54 +29,9 @@
     return {call, "store", reason};
 }
 
-proxy::UpstreamChange decodeChange(const KeyedRecord &record, proxy::UpstreamUpdate &update)
+std::string statusText(int status)
 {
-    proxy::UpstreamChange change{UpstreamId{record.key}, true, {}, std::nullopt};
-    if (record.offset) {
-        change.position = fleet::StorePosition{update.next.history, *record.offset};
-    }
-    if (record.value.empty()) {
-        return change;
-    }
-    if (auto entry = decodeUpstream(record.key, record.value)) {
-        change.removed = false;
-        change.entry = std::move(*entry);
-        change.entry.position = change.position;
-    } else {
-        ++update.unreadable;
-    }
-    return change;
-}
-
-/** Adds records of the history of update.next to the update. An undecodable entry is skipped; it does not remove an upstream, since its key
- * may belong to another writer. */
-void addChanges(const std::vector<KeyedRecord> &records, proxy::UpstreamUpdate &update)
-{
-    for (const KeyedRecord &record : records) {
-        const int unreadable = update.unreadable;
-        proxy::UpstreamChange change = decodeChange(record, update);
-        if (unreadable == update.unreadable) {
-            update.changes.push_back(std::move(change));
-        }
-    }
-}
-
-/** Decodes the newest record of each instance. */
-membership::InstanceList listedInstances(const std::vector<KeyedRecord> &records)
-{
-    std::map<std::string, const KeyedRecord *> newest;
-    for (const KeyedRecord &record : records) {
-        newest[record.key] = &record;
-    }
-    membership::InstanceList list;
-    for (const auto &[key, record] : newest) {
-        const auto document = nlohmann::json::parse(record->value, nullptr, false);
-        if (document.is_object()) {
-            list.instances.push_back(
-                {InstanceId{key}, document.value("address", std::string{}), DataCentreId{document.value("zone", std::string{})}, false});
-        }
-    }
-    return list;
+    return "status " + std::to_string(status);
 }
 
 } // namespace
@@ -93,6 +52,15 @@
     Answer answer;
 };
 
+/** A read of the newest record of each key, page by page. */
+struct StoreClient::NewestRead {
+    const char *topic = nullptr;
+    Continuation<NewestPage> done;
+    NewestPage collected;
+    std::optional<std::string> after; ///< last key of the previous page
+    std::size_t pages = 0; ///< read so far
+};
+
 StoreClient::StoreClient(net::EventLoop &loop, settings::Endpoint store)
     : m_loop(loop)
     , m_store(std::move(store))
@@ -169,43 +137,56 @@
     call->hook(answer);
 }
 
-void StoreClient::readNewest(const char *topic,
-                             const std::string &after,
-                             const std::shared_ptr<NewestPage> &collected,
-                             const Continuation<NewestPage> &done)
+void StoreClient::readNewest(const char *topic, const Continuation<NewestPage> &done)
 {
-    std::string target = std::string("/v1/log-newest?topic=") + topic + "&part=0";
-    if (!after.empty()) {
-        target += "&after=" + after;
+    const auto read = std::make_shared<NewestRead>();
+    read->topic = topic;
+    read->done = done;
+    readNextPage(read);
+}
+
+void StoreClient::readNextPage(const std::shared_ptr<NewestRead> &read)
+{
+    std::string target = std::string("/v1/log-newest?topic=") + read->topic + "&part=0";
+    if (read->after) {
+        target += "&after=" + *read->after;
     }
-    call("log-newest", "GET", target, {}, callTimeout, [this, topic, collected, done](const Result<Answer> &answer) {
-        if (!answer.has_value()) {
-            done(answer.error());
-            return;
-        }
-        auto page = answer.value().status == ok ? decodeNewest(answer.value().body) : std::nullopt;
-        if (!page) {
-            done(storeError("log-newest", "status " + std::to_string(answer.value().status)));
-            return;
-        }
-        page->next.history = answer.value().history;
-        if (collected->records.empty()) {
-            collected->next = page->next;
-        } else if (collected->next.history != page->next.history) {
-            done(storeError("log-newest", "the store was restored between two pages"));
-            return;
-        }
-        // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
-        collected->next.offset = std::min(collected->next.offset, page->next.offset);
-        collected->records.insert(collected->records.end(), page->records.begin(), page->records.end());
-        if (page->hasMore && !page->records.empty()) {
-            readNewest(topic, page->records.back().key, collected, done);
-            return;
+    call("log-newest", "GET", target, {}, callTimeout, [this, read](const Result<Answer> &answer) {
+        if (answer.has_value()) {
+            onPage(read, answer.value());
+        } else {
+            read->done(answer.error());
         }
-        done(*collected);
     });
 }
 
+void StoreClient::onPage(const std::shared_ptr<NewestRead> &read, const Answer &answer)
+{
+    auto page = answer.status == ok ? decodeNewest(answer.body) : std::nullopt;
+    if (!page) {
+        read->done(storeError("log-newest", statusText(answer.status)));
+        return;
+    }
+    page->next.history = answer.history;
+    NewestPage &collected = read->collected;
+    if (read->pages == 0) {
+        collected.next = page->next;
+    } else if (collected.next.history != page->next.history) {
+        read->done(storeError("log-newest", "the store was restored between two pages"));
+        return;
+    }
+    ++read->pages;
+    // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
+    collected.next.offset = std::min(collected.next.offset, page->next.offset);
+    std::move(page->records.begin(), page->records.end(), std::back_inserter(collected.records));
+    if (page->hasMore && !collected.records.empty()) {
+        read->after = collected.records.back().key;
+        readNextPage(read);
+    } else {
+        read->done(std::move(collected));
+    }
+}
+
 void StoreClient::readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done)
 {
     const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
@@ -218,7 +199,7 @@
         }
         auto records = answer.value().status == ok ? decodeRecords(answer.value().body, from) : std::nullopt;
         if (!records) {
-            done(storeError("log-read", answer.value().status == gone ? "gone" : "status " + std::to_string(answer.value().status)));
+            done(storeError("log-read", answer.value().status == gone ? goneReason : statusText(answer.value().status)));
             return;
         }
         if (answer.value().history) {
@@ -230,29 +211,20 @@
 
 void StoreClient::readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done)
 {
-    const auto newestConfiguration = [](const std::vector<KeyedRecord> &records) {
-        std::string text;
-        for (const KeyedRecord &record : records) {
-            if (record.key == names::configurationKey) {
-                text = record.value;
-            }
-        }
-        return text;
-    };
     if (from.offset == 0) {
-        readNewest(names::operatorTopic, {}, std::make_shared<NewestPage>(), [done, newestConfiguration](const Result<NewestPage> &page) {
-            if (!page.has_value()) {
+        readNewest(names::operatorTopic, [done](const Result<NewestPage> &page) {
+            if (page.has_value()) {
+                done(newestConfiguration(page.value().records, page.value().next, true));
+            } else {
                 done(page.error());
-                return;
             }
-            done(proxy::ConfigurationUpdate{newestConfiguration(page.value().records), page.value().next, true});
         });
         return;
     }
-    readChanges(names::operatorTopic, from, wait, [this, done, newestConfiguration, wait](const Result<LogRecords> &records) {
+    readChanges(names::operatorTopic, from, wait, [this, done, wait](const Result<LogRecords> &records) {
         if (records.has_value()) {
-            done(proxy::ConfigurationUpdate{newestConfiguration(records.value().records), records.value().next, false});
-        } else if (records.error().reason == "gone") {
+            done(newestConfiguration(records.value().records, records.value().next, false));
+        } else if (records.error().reason == goneReason) {
             readConfiguration({}, wait, done);
         } else {
             done(records.error());
@@ -263,26 +235,19 @@
 void StoreClient::readUpstreams(const fleet::StorePosition &from, const Continuation<proxy::UpstreamUpdate> &done)
 {
     if (from.offset == 0) {
-        readNewest(names::upstreamTopic, {}, std::make_shared<NewestPage>(), [done](const Result<NewestPage> &page) {
-            if (!page.has_value()) {
+        readNewest(names::upstreamTopic, [done](const Result<NewestPage> &page) {
+            if (page.has_value()) {
+                done(decodeUpstreams(page.value().records, page.value().next, true));
+            } else {
                 done(page.error());
-                return;
             }
-            proxy::UpstreamUpdate update;
-            update.next = page.value().next;
-            update.complete = true;
-            addChanges(page.value().records, update);
-            done(std::move(update));
         });
         return;
     }
     readChanges(names::upstreamTopic, from, Duration::zero(), [this, done](const Result<LogRecords> &records) {
         if (records.has_value()) {
-            proxy::UpstreamUpdate update;
-            update.next = records.value().next;
-            addChanges(records.value().records, update);
-            done(std::move(update));
-        } else if (records.error().reason == "gone") {
+            done(decodeUpstreams(records.value().records, records.value().next, false));
+        } else if (records.error().reason == goneReason) {
             readUpstreams({}, done);
         } else {
             done(records.error());
@@ -298,7 +263,7 @@
         if (!answer.has_value()) {
             done(answer.error());
         } else if (answer.value().status != ok) {
-            done(storeError("log-append", "status " + std::to_string(answer.value().status)));
+            done(storeError("log-append", statusText(answer.value().status)));
         } else {
             done(true);
         }
@@ -310,19 +275,19 @@
     // The whole log in one call. Once its oldest records have been deleted, the newest ones are read in pages.
     readChanges(names::instanceTopic, {}, Duration::zero(), [this, done](const Result<LogRecords> &log) {
         if (log.has_value()) {
-            done(listedInstances(log.value().records));
+            done(decodeInstances(log.value().records));
             return;
         }
-        if (log.error().reason != "gone") {
+        if (log.error().reason != goneReason) {
             done(log.error());
             return;
         }
-        readNewest(names::instanceTopic, {}, std::make_shared<NewestPage>(), [done](const Result<NewestPage> &page) {
-            if (!page.has_value()) {
+        readNewest(names::instanceTopic, [done](const Result<NewestPage> &page) {
+            if (page.has_value()) {
+                done(decodeInstances(page.value().records));
+            } else {
                 done(page.error());
-                return;
             }
-            done(listedInstances(page.value().records));
         });
     });
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -1,6 +1,7 @@
-/** HTTP client of the platform's store, with its record formats. */
+/** HTTP client of the platform's store. */
 #pragma once
 
+#include "platform/storeformat.h"
 #include "proxy/outboundconnection.h"
 #include "proxy/storeaccess.h"
 
@@ -13,41 +14,6 @@
 
 namespace jackdawdoor::platform {
 
-/** Record of a keyed topic; an empty value deletes the key. */
-struct KeyedRecord {
-    std::string key;
-    std::string value;
-    std::optional<std::uint64_t> offset = std::nullopt; ///< nothing if the store doesn't state it
-
-    bool operator==(const KeyedRecord &) const = default;
-};
-
-/** Records of a log from an offset on. */
-struct LogRecords {
-    std::vector<KeyedRecord> records;
-    fleet::StorePosition next;
-
-    bool operator==(const LogRecords &) const = default;
-};
-
-/** Decodes the answer to log-read; from is the offset of its first record. Nothing if the bytes are malformed. */
-std::optional<LogRecords> decodeRecords(std::string_view bytes, const fleet::StorePosition &from);
-
-/** Page of the newest record of each key. */
-struct NewestPage {
-    std::vector<KeyedRecord> records;
-    fleet::StorePosition next;
-    bool hasMore = false;
-};
-/** Decodes the answer to log-newest. Nothing if the text is malformed. */
-std::optional<NewestPage> decodeNewest(std::string_view text);
-
-/** Returns the number of the store's history in the head of an answer. Nothing if there is none; an unusable one is logged. */
-std::optional<fleet::StoreHistoryNumber> decodeHistory(const net::Headers &headers);
-
-/** Encodes a record of a keyed topic for log-append. */
-std::string encodeRecord(const std::string &key, const std::string &value);
-
 /** Calls the store over its own connections. Used on one loop. */
 class StoreClient
 {
@@ -70,6 +36,7 @@
         std::string body;
     };
     struct Call;
+    struct NewestRead;
     using AnswerHook = std::function<void(const Result<Answer> &)>;
     template <typename Value>
     using Continuation = proxy::StoreAccess::Continuation<Value>;
@@ -81,10 +48,9 @@
               Duration timeout,
               AnswerHook hook);
     void endCall(Call *call, const Result<Answer> &answer);
-    void readNewest(const char *topic,
-                    const std::string &after,
-                    const std::shared_ptr<NewestPage> &collected,
-                    const Continuation<NewestPage> &done);
+    void readNewest(const char *topic, const Continuation<NewestPage> &done);
+    void readNextPage(const std::shared_ptr<NewestRead> &read);
+    void onPage(const std::shared_ptr<NewestRead> &read, const Answer &answer);
     void readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done);
     void readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done);
     void readUpstreams(const fleet::StorePosition &from, const Continuation<proxy::UpstreamUpdate> &done);
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -1,5 +1,6 @@
+#include "platform/storeformat.h"
+
 #include "platform/names.h"
-#include "platform/storeclient.h"
 #include "telemetry/log.h"
 
 #include <absl/strings/escaping.h>
--- /dev/null
+++ b/src/platform/storerecords.h
@@ -0,0 +1,21 @@
+/** Decoders for the records of the store's topics. */
+#pragma once
+
+#include "membership/instancelist.h"
+#include "platform/storeformat.h"
+#include "proxy/storeaccess.h"
+
+#include <vector>
+
+namespace jackdawdoor::platform {
+
+/** Decodes upstreams' entries and removals, in log order. complete: the records are all that there are. */
+proxy::UpstreamUpdate decodeUpstreams(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete);
+
+/** Finds the last configuration that the operator wrote. */
+proxy::ConfigurationUpdate newestConfiguration(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete);
+
+/** Decodes the newest record of each instance. */
+membership::InstanceList decodeInstances(const std::vector<KeyedRecord> &records);
+
+} // namespace jackdawdoor::platform
