Escape the key in the call for the next page of the store's records

After a restart of all processes almost no request was served while the entry stood.

Cause: the last key of a page is the parameter `after` of the call for the next page, and it was put into the target as it is. `u1&part=7` becomes `u1` and a second parameter, so that the same page comes again, without end; a blank or a quote makes the request line malformed; `#` and `+` name another key. The read of the upstreams never ended, and an instance that starts has no other list. Class of fault: text from outside is put into a message of another grammar without encoding.

Ruled out: that the entry is taken for an upstream (the instance knew none).

Change: the key is percent-encoded, by the function that the commands use for their queries; it moves from cli to net. A page that says that more follow and does not lead on ends the read with an error in place of an endless loop. The errors of such reads name the topic and the page.

Looked for elsewhere: the other calls of the store, of peers and of the commands have numbers or encoded values in their targets.

--- a/src/cli/clientcommands.cpp
+++ b/src/cli/clientcommands.cpp
@@ -2,7 +2,6 @@
 
 #include "cli/commandline.h"
 #include "cli/statustable.h"
-#include "cli/url.h"
 #include "net/httpfetch.h"
 
 #include <nlohmann/json.hpp>
@@ -66,8 +65,8 @@
              std::ostream &out,
              std::ostream &err)
 {
-    const std::string query =
-        "customer=" + encodeQueryValue(customer) + "&service=" + encodeQueryValue(service) + "&caller=" + encodeQueryValue(caller);
+    const std::string query = "customer=" + net::encodeQueryValue(customer) + "&service=" + net::encodeQueryValue(service)
+                              + "&caller=" + net::encodeQueryValue(caller);
     const FetchedBody fetched = fetchBody("query placement", instanceUrl + "/v1/place?" + query, err);
     if (fetched.exitCode == Success) {
         printJson(fetched.body, out);
--- a/src/cli/publishcommand.cpp
+++ b/src/cli/publishcommand.cpp
@@ -3,7 +3,6 @@
 #include "cli/checkcommand.h"
 #include "cli/commandline.h"
 #include "cli/fleetwait.h"
-#include "cli/url.h"
 #include "configuration/publishsession.h"
 #include "core/contractcompiler.h"
 #include "net/fleetauthentication.h"
@@ -44,7 +43,7 @@
 
 std::string stateUrl(const PublishOptions &options, const CustomerId &customer)
 {
-    return options.instanceUrl + "/v1/contract?customer=" + encodeQueryValue(customer.value);
+    return options.instanceUrl + "/v1/contract?customer=" + net::encodeQueryValue(customer.value);
 }
 
 /** The customer's state as an instance knows it. */
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -33,11 +33,21 @@
     return result;
 }
 
-bool isTokenCharacter(char character)
+bool isAlphanumeric(char character)
 {
     const char lower = lowered(character);
-    const bool alphanumeric = (lower >= 'a' && lower <= 'z') || (lower >= '0' && lower <= '9');
-    return alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+    return (lower >= 'a' && lower <= 'z') || (lower >= '0' && lower <= '9');
+}
+
+/** Characters that a URI leaves unescaped in any part. */
+bool isUnreserved(char character)
+{
+    return isAlphanumeric(character) || std::string_view("-._~").find(character) != std::string_view::npos;
+}
+
+bool isTokenCharacter(char character)
+{
+    return isAlphanumeric(character) || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
 }
 
 bool hasControlCharacter(std::string_view value)
@@ -186,6 +196,23 @@
     return value;
 }
 
+std::string encodeQueryValue(std::string_view value)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : value) {
+        if (isUnreserved(character)) {
+            encoded += character;
+        } else {
+            const auto byte = static_cast<unsigned char>(character);
+            encoded += '%';
+            encoded += digits[byte / 16];
+            encoded += digits[byte % 16];
+        }
+    }
+    return encoded;
+}
+
 std::string queryParameter(std::string_view target, std::string_view name)
 {
     const auto question = target.find('?');
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -68,6 +68,9 @@
 /** Value of an unsigned decimal number, or nothing. */
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/** Value of a parameter in a query; everything but unreserved characters is percent-encoded. */
+std::string encodeQueryValue(std::string_view value);
+
 /** Value of a parameter in the target's query, percent-decoded, or an empty string. */
 std::string queryParameter(std::string_view target, std::string_view name);
 
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -59,6 +59,11 @@
     NewestPage collected;
     std::optional<std::string> after; ///< last key of the previous page
     std::size_t pages = 0; ///< read so far
+
+    Error error(const std::string &reason) const
+    {
+        return storeError("log-newest", reason + ", topic " + topic + ", page " + std::to_string(pages + 1));
+    }
 };
 
 StoreClient::StoreClient(net::EventLoop &loop, settings::Endpoint store)
@@ -149,13 +154,13 @@
 {
     std::string target = std::string("/v1/log-newest?topic=") + read->topic + "&part=0";
     if (read->after) {
-        target += "&after=" + *read->after;
+        target += "&after=" + net::encodeQueryValue(*read->after);
     }
     call("log-newest", "GET", target, {}, callTimeout, [this, read](const Result<Answer> &answer) {
         if (answer.has_value()) {
             onPage(read, answer.value());
         } else {
-            read->done(answer.error());
+            read->done(read->error(answer.error().reason));
         }
     });
 }
@@ -164,7 +169,7 @@
 {
     auto page = answer.status == ok ? decodeNewest(answer.body) : std::nullopt;
     if (!page) {
-        read->done(storeError("log-newest", statusText(answer.status)));
+        read->done(read->error(answer.status == ok ? "the page cannot be decoded" : statusText(answer.status)));
         return;
     }
     page->next.history = answer.history;
@@ -172,18 +177,22 @@
     if (read->pages == 0) {
         collected.next = page->next;
     } else if (collected.next.history != page->next.history) {
-        read->done(storeError("log-newest", "the store was restored between two pages"));
+        read->done(read->error("the store was restored between two pages"));
         return;
     }
     ++read->pages;
     // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
     collected.next.offset = std::min(collected.next.offset, page->next.offset);
+    const std::optional<std::string> last = page->records.empty() ? std::nullopt : std::optional(page->records.back().key);
     std::move(page->records.begin(), page->records.end(), std::back_inserter(collected.records));
-    if (page->hasMore && !collected.records.empty()) {
-        read->after = collected.records.back().key;
-        readNextPage(read);
-    } else {
+    if (!page->hasMore) {
         read->done(std::move(collected));
+    } else if (!last || last == read->after) {
+        // Neither the rest of the list is known, nor can it be asked for.
+        read->done(read->error("the page does not lead to the next one"));
+    } else {
+        read->after = last;
+        readNextPage(read);
     }
 }
 
--- /dev/null
+++ b/test/correctness/foreignentries_test.cpp
@@ -0,0 +1,81 @@
+/** Entries of other writers in the platform's store: the list that holds them is still read in full. */
+#include "standins/proxyinstance.h"
+#include "standins/rawclient.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace jackdawdoor;
+using standins::PlatformStore;
+using standins::ProxyInstance;
+using standins::ReceivedRequest;
+using standins::ScriptedReply;
+using standins::ScriptedUpstream;
+
+namespace {
+
+const std::string upstreamTopic = "keyed.servers";
+const std::string operatorTopic = "keyed.op";
+const std::string instanceTopic = "keyed.instances";
+constexpr std::size_t upstreamCount = 4;
+
+/** Names that an unescaped query, path or request line would change or end. */
+const std::vector<std::string> awkwardNames{"u1&part=7", "u1+1", "u1#1", "u1%41", "u1 1", "u1/?=", "u1\"\\", "u1\r\n", "u1\xc3\xa9", "u1"};
+
+/** A store whose lists take several pages, with the records of a fleet that starts. */
+struct PagedStore {
+    PagedStore()
+        : upstream([](const ReceivedRequest &request) {
+            return ScriptedReply{ScriptedUpstream::answerTo(request, 200, "body")};
+        })
+    {
+        store.setPageSize(1);
+        standins::putConfiguration(store, 1);
+        for (std::size_t number = 0; number < upstreamCount; ++number) {
+            // They sort before and after the names of other writers.
+            const std::string id = std::string(number % 2 == 0 ? "a" : "z") + std::to_string(number);
+            standins::putUpstream(store, id, upstream.address(), 1);
+        }
+    }
+
+    /** Starts an instance and sends one request through it; returns the answer. */
+    std::string answerAfterStart()
+    {
+        ProxyInstance instance(store);
+        CHECK_MESSAGE(instance.waitForVersion(1), "the configuration is not in force");
+        CHECK_MESSAGE(instance.waitForUpstreams(upstreamCount), "the instance does not know the upstreams");
+        standins::RawClient client(instance.callersPort());
+        client.send(standins::callerRequest("GET", "/safe/a", "id-1"));
+        return client.receiveAnswer();
+    }
+
+    ScriptedUpstream upstream;
+    PlatformStore store;
+};
+
+} // namespace
+
+TEST_CASE("an entry whose name needs escaping does not keep a restarted instance from reading the list of upstreams")
+{
+    for (const std::string &name : awkwardNames) {
+        CAPTURE(name);
+        PagedStore paged;
+        paged.store.put(upstreamTopic, name, "not an entry");
+        const std::string answer = paged.answerAfterStart();
+        CHECK_MESSAGE(answer.starts_with("HTTP/1.1 200"), "unexpected answer: " << answer);
+    }
+}
+
+TEST_CASE("a record whose name needs escaping does not keep a restarted instance from reading the configuration")
+{
+    for (const std::string &name : awkwardNames) {
+        CAPTURE(name);
+        PagedStore paged;
+        paged.store.put(operatorTopic, "a" + name, "not a configuration"); // sorts before the configuration
+        CHECK(paged.answerAfterStart().starts_with("HTTP/1.1 200"));
+    }
+}
--- a/test/standins/platformstore.cpp
+++ b/test/standins/platformstore.cpp
@@ -10,6 +10,7 @@
 using net::queryParameter;
 
 constexpr int ok = 200;
+constexpr int badRequest = 400;
 constexpr Duration pollPeriod = std::chrono::milliseconds{10};
 
 std::string bigEndian(std::uint64_t value, int size)
@@ -30,6 +31,13 @@
     return value;
 }
 
+/** True if the target has only characters that RFC 3986 allows in a path with a query. */
+bool isRequestTarget(std::string_view target)
+{
+    constexpr std::string_view allowed = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:/?@!$&'()*+,;=%";
+    return target.find_first_not_of(allowed) == std::string_view::npos;
+}
+
 } // namespace
 
 PlatformStore::PlatformStore()
@@ -65,6 +73,27 @@
     });
 }
 
+void PlatformStore::setUnavailableTopic(const std::string &topic)
+{
+    m_server.loop().call([&] {
+        m_unavailableTopic = topic;
+    });
+}
+
+void PlatformStore::setPageSize(std::size_t records)
+{
+    m_server.loop().call([&] {
+        m_pageSize = records;
+    });
+}
+
+void PlatformStore::setStrangeItem(const std::string &item)
+{
+    m_server.loop().call([&] {
+        m_strangeItem = item;
+    });
+}
+
 PlatformStore::Copy PlatformStore::copy()
 {
     Copy copy;
@@ -112,6 +141,10 @@
     constexpr int unavailable = 503;
     constexpr int tooMany = 429;
     ++m_calls;
+    if (!m_unavailableTopic.empty() && queryParameter(request.target, "topic") == m_unavailableTopic) {
+        reply(exchange, unavailable, "");
+        return;
+    }
     switch (m_fault) {
     case StoreFault::Busy:
         reply(exchange, unavailable, "");
@@ -178,19 +211,33 @@
 
 void PlatformStore::answerNewest(const StandinServer::Exchange &exchange, const std::string &target)
 {
+    if (!isRequestTarget(target)) {
+        reply(exchange, badRequest, "");
+        return;
+    }
     const Topic &topic = m_topics[queryParameter(target, "topic")];
+    const bool first = target.find("&after=") == std::string::npos;
+    const std::string after = queryParameter(target, "after");
     std::map<std::string, std::uint64_t> newest;
     for (std::uint64_t offset = 0; offset < topic.records.size(); ++offset) {
-        newest[topic.records[offset].key] = offset;
-    }
-    nlohmann::json items = nlohmann::json::array();
-    for (const auto &[key, offset] : newest) {
-        const std::string &value = topic.records[offset].value;
-        if (!value.empty()) {
-            items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", offset}});
+        const Record &record = topic.records[offset];
+        if (record.value.empty()) {
+            newest.erase(record.key);
+        } else {
+            newest[record.key] = offset;
         }
     }
-    reply(exchange, ok, nlohmann::json{{"items", items}, {"has-more", false}, {"end-offset", topic.records.size()}}.dump());
+    std::string items = m_strangeItem;
+    std::size_t count = 0;
+    auto position = first ? newest.begin() : newest.upper_bound(after);
+    for (; position != newest.end() && count < m_pageSize; ++position, ++count) {
+        const std::string &value = topic.records[position->second].value;
+        const nlohmann::json item{{"key", position->first}, {"value", absl::Base64Escape(value)}, {"offset", position->second}};
+        items += (items.empty() ? "" : ",") + item.dump();
+    }
+    const std::string more = position == newest.end() ? "false" : "true";
+    const std::string end = std::to_string(topic.records.size());
+    reply(exchange, ok, R"({"items":[)" + items + R"(],"has-more":)" + more + R"(,"end-offset":)" + end + "}");
 }
 
 void PlatformStore::answerAppend(const StandinServer::Exchange &exchange, const net::RequestContent &request)
--- a/test/standins/platformstore.h
+++ b/test/standins/platformstore.h
@@ -47,6 +47,15 @@
 
     void setFault(StoreFault fault);
 
+    /** Calls that name the topic are answered 503; an empty name ends that. */
+    void setUnavailableTopic(const std::string &topic);
+
+    /** Number of records on a page of log-newest; 500 at first. */
+    void setPageSize(std::size_t records);
+
+    /** Adds an item to each page of log-newest, before its records; the text is JSON. */
+    void setStrangeItem(const std::string &item);
+
     /** Returns a copy from which the store can be restored. */
     Copy copy();
 
@@ -73,6 +82,9 @@
     int m_history = 1;
     std::vector<StandinServer::Exchange> m_silent; ///< never answered
     StoreFault m_fault = StoreFault::None;
+    std::string m_unavailableTopic;
+    std::size_t m_pageSize = 500;
+    std::string m_strangeItem;
     int m_calls = 0;
     StandinServer m_server; // last, so that its thread ends before the state goes
 };
