Skip an item of a page of records that cannot be read

Cause: the page was decoded as a whole; one missing field, or one byte that the JSON parser refuses, discarded it. Class of fault: what one writer wrote decides about what the others wrote.

Ruled out: that the value alone matters (a value that is no base64 was handled before, the one case that passed).

Change: an item without a usable key is counted and skipped; one whose value cannot be read keeps its key and names nothing. A page with bytes that are not UTF-8 is parsed with these bytes widened to code points, and keys get their bytes back.

--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -183,6 +183,7 @@
     ++read->pages;
     // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
     collected.next.offset = std::min(collected.next.offset, page->next.offset);
+    collected.unreadable += page->unreadable;
     const std::optional<std::string> last = page->records.empty() ? std::nullopt : std::optional(page->records.back().key);
     std::move(page->records.begin(), page->records.end(), std::back_inserter(collected.records));
     if (!page->hasMore) {
@@ -246,7 +247,9 @@
     if (from.offset == 0) {
         readNewest(names::upstreamTopic, [done](const Result<NewestPage> &page) {
             if (page.has_value()) {
-                done(decodeUpstreams(page.value().records, page.value().next, true));
+                proxy::UpstreamUpdate update = decodeUpstreams(page.value().records, page.value().next, true);
+                update.unreadable += static_cast<int>(page.value().unreadable);
+                done(std::move(update));
             } else {
                 done(page.error());
             }
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -1,5 +1,6 @@
 #include "platform/storeformat.h"
 
+#include "contract/utf8.h"
 #include "platform/names.h"
 #include "telemetry/log.h"
 
@@ -24,6 +25,9 @@
 constexpr std::size_t offsetSize = 8;
 constexpr std::size_t lengthSize = 4;
 
+/** Stands for a value that cannot be decoded; no document. */
+constexpr const char *undecodableValue = "?";
+
 /** Splits the content of a record into key and value; false if the key length exceeds the content. */
 bool splitRecord(std::string_view content, KeyedRecord &record)
 {
@@ -39,6 +43,59 @@
     return true;
 }
 
+/** Encodes each byte above 0x7f as the code point of its value, so that the text becomes valid UTF-8. */
+std::string widenBytes(std::string_view bytes)
+{
+    std::string text;
+    for (const char character : bytes) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte < 0x80) {
+            text += character;
+        } else {
+            text += static_cast<char>(0xc0 | (byte >> 6));
+            text += static_cast<char>(0x80 | (byte & 0x3f));
+        }
+    }
+    return text;
+}
+
+/** Reverses widenBytes(). */
+std::string narrowBytes(std::string_view text)
+{
+    std::string bytes;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const auto byte = static_cast<unsigned char>(text[index]);
+        const bool widened = (byte == 0xc2 || byte == 0xc3) && index + 1 < text.size();
+        if (widened) {
+            ++index;
+            bytes += static_cast<char>(((byte & 0x03) << 6) | (static_cast<unsigned char>(text[index]) & 0x3f));
+        } else {
+            bytes += text[index];
+        }
+    }
+    return bytes;
+}
+
+/** Decodes an item of a page; nothing if it has no key. A value that cannot be decoded keeps the key, but names nothing. */
+std::optional<KeyedRecord> decodeItem(const nlohmann::json &item)
+{
+    const auto key = item.find("key");
+    if (key == item.end() || !key->is_string()) {
+        return std::nullopt;
+    }
+    KeyedRecord record;
+    record.key = key->get<std::string>();
+    if (const auto offset = item.find("offset"); offset != item.end() && offset->is_number_unsigned()) {
+        record.offset = offset->get<std::uint64_t>();
+    }
+    const auto value = item.find("value");
+    const bool decoded = value != item.end() && value->is_string() && absl::Base64Unescape(value->get<std::string>(), &record.value);
+    if (!decoded || record.value.empty()) {
+        record.value = undecodableValue;
+    }
+    return record;
+}
+
 } // namespace
 
 std::optional<LogRecords> decodeRecords(std::string_view bytes, const fleet::StorePosition &from)
@@ -72,21 +129,21 @@
 std::optional<NewestPage> decodeNewest(std::string_view text)
 {
     using nlohmann::json;
+    // Keys are arbitrary bytes, but a JSON parser accepts valid UTF-8 only.
+    const bool raw = contract::firstInvalidUtf8(text).has_value();
     try {
-        const json document = json::parse(text);
+        const json document = json::parse(raw ? widenBytes(text) : std::string(text));
         NewestPage page;
         page.next.offset = document.at("end-offset").get<std::uint64_t>();
         page.hasMore = document.value("has-more", false);
         for (const json &item : document.at("items")) {
-            KeyedRecord record;
-            record.key = item.at("key").get<std::string>();
-            if (const auto offset = item.find("offset"); offset != item.end() && offset->is_number_unsigned()) {
-                record.offset = offset->get<std::uint64_t>();
-            }
-            if (!absl::Base64Unescape(item.at("value").get<std::string>(), &record.value)) {
-                record.value = "?"; // not valid JSON: keeps the key, but decodes to no entry
+            std::optional<KeyedRecord> record = decodeItem(item);
+            if (!record) {
+                ++page.unreadable;
+                continue;
             }
-            page.records.push_back(std::move(record));
+            record->key = raw ? narrowBytes(record->key) : record->key;
+            page.records.push_back(std::move(*record));
         }
         return page;
     } catch (const json::exception &) {
--- a/src/platform/storeformat.h
+++ b/src/platform/storeformat.h
@@ -1,4 +1,7 @@
-/** Formats of the platform's store: records of its logs, pages of newest records, and the number of its history. */
+/** Formats of the platform's store: records of its logs, pages of newest records, and the number of its history.
+ *
+ * Other programs write to the store's topics as well. What cannot be read of a record or of an item is skipped; the others hold.
+ */
 #pragma once
 
 #include "fleet/storehistory.h"
@@ -38,11 +41,12 @@
     std::vector<KeyedRecord> records;
     fleet::StorePosition next;
     bool hasMore = false;
+    std::size_t unreadable = 0; ///< items without a usable key or value
 
     bool operator==(const NewestPage &) const = default;
 };
 
-/** Decodes the answer to log-newest. Nothing if the text is malformed. */
+/** Decodes the answer to log-newest. Nothing if the text is malformed as a whole. */
 std::optional<NewestPage> decodeNewest(std::string_view text);
 
 /** Returns the number of the store's history in the head of an answer. Nothing if there is none; an unusable one is logged. */
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -79,3 +79,19 @@
         CHECK(paged.answerAfterStart().starts_with("HTTP/1.1 200"));
     }
 }
+
+TEST_CASE("an item that cannot be read does not hide the others on its page")
+{
+    for (const char *item : {"7",
+                             "{}",
+                             R"({"key":3,"value":"Pw=="})",
+                             R"({"key":"k"})",
+                             R"({"key":"k","value":7})",
+                             R"({"key":"k","value":"not base64"})",
+                             "{\"key\":\"\xff\xfe\",\"value\":\"Pw==\"}"}) {
+        CAPTURE(std::string(item));
+        PagedStore paged;
+        paged.store.setStrangeItem(item);
+        CHECK(paged.answerAfterStart().starts_with("HTTP/1.1 200"));
+    }
+}
