Skip an entry in the list of instances that is none, in place of ending the process

Cause: an entry of the topic in which instances register was read with json::value(), which throws when a field has another type, outside any handler of the decoder; the exception left the event loop.

Change: the entry is decoded beside the other documents, by a function that returns nothing for what is no instance: no JSON, other types, no usable address, no name. Encoding stands next to it.

--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -2,6 +2,7 @@
 
 #include "net/fleetauthentication.h"
 #include "proxy/usableentry.h"
+#include "settings/settings.h"
 #include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
@@ -208,4 +209,24 @@
     }
 }
 
+std::optional<membership::ListedInstance> decodeInstance(std::string_view key, std::string_view text)
+{
+    try {
+        const json document = json::parse(text);
+        membership::ListedInstance instance{InstanceId{std::string(key)},
+                                            document.at("address").get<std::string>(),
+                                            DataCentreId{document.at("zone").get<std::string>()},
+                                            false};
+        const bool usable = !instance.id.empty() && settings::parseEndpoint(instance.address).has_value();
+        return usable ? std::optional(std::move(instance)) : std::nullopt;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeInstance(const membership::ListedInstance &instance)
+{
+    return json{{"address", instance.address}, {"zone", instance.dataCentre.value}}.dump();
+}
+
 } // namespace jackdawdoor::platform
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -4,8 +4,6 @@
 #include "platform/names.h"
 #include "platform/storerecords.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -269,17 +267,17 @@
 
 void StoreClient::registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done)
 {
-    const std::string value = nlohmann::json{{"address", self.address}, {"zone", self.dataCentre.value}}.dump();
     const std::string target = std::string("/v1/log-append?topic=") + names::instanceTopic + "&part=0";
-    call("log-append", "POST", target, encodeRecord(self.id.value, value), callTimeout, [done](const Result<Answer> &answer) {
-        if (!answer.has_value()) {
-            done(answer.error());
-        } else if (answer.value().status != ok) {
-            done(storeError("log-append", statusText(answer.value().status)));
-        } else {
-            done(true);
-        }
-    });
+    call(
+        "log-append", "POST", target, encodeRecord(self.id.value, encodeInstance(self)), callTimeout, [done](const Result<Answer> &answer) {
+            if (!answer.has_value()) {
+                done(answer.error());
+            } else if (answer.value().status != ok) {
+                done(storeError("log-append", statusText(answer.value().status)));
+            } else {
+                done(true);
+            }
+        });
 }
 
 void StoreClient::listInstances(const Continuation<membership::InstanceList> &done)
--- a/src/platform/storerecords.cpp
+++ b/src/platform/storerecords.cpp
@@ -3,8 +3,6 @@
 #include "platform/documents.h"
 #include "platform/names.h"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 #include <utility>
 
@@ -74,10 +72,8 @@
     }
     membership::InstanceList list;
     for (const auto &[key, record] : newest) {
-        const auto document = nlohmann::json::parse(record->value, nullptr, false);
-        if (document.is_object()) {
-            list.instances.push_back(
-                {InstanceId{key}, document.value("address", std::string{}), DataCentreId{document.value("zone", std::string{})}, false});
+        if (auto instance = decodeInstance(key, record->value)) {
+            list.instances.push_back(std::move(*instance));
         }
     }
     return list;
--- a/src/platform/storerecords.h
+++ b/src/platform/storerecords.h
@@ -1,4 +1,7 @@
-/** Decoders for the records of the store's topics. */
+/** Decoders for the records of the store's topics.
+ *
+ * A record that cannot be decoded may belong to another program: it is skipped and takes nothing away.
+ */
 #pragma once
 
 #include "membership/instancelist.h"
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -95,3 +95,19 @@
         CHECK(paged.answerAfterStart().starts_with("HTTP/1.1 200"));
     }
 }
+
+TEST_CASE("an entry in the list of instances that is none does not end the process")
+{
+    for (const char *entry : {R"({"address":7,"zone":"dc-1"})", R"({"address":"127.0.0.1:1","zone":{}})", "[]", "\xff"}) {
+        CAPTURE(std::string(entry));
+        PagedStore paged;
+        paged.store.put(instanceTopic, "other program", entry);
+        ProxyInstance instance(paged.store);
+        CHECK(instance.waitForVersion(1));
+        // The list has been read by the time the entry of a later instance is known.
+        standins::ProxyInstanceOptions options;
+        options.name = "edge-2";
+        ProxyInstance second(paged.store, options);
+        CHECK_MESSAGE(second.waitForInstances(2, std::chrono::seconds{5}), "the second instance did not read the list");
+    }
+}
