Look at every configuration that is read, not only at the last one

What callers saw (CONFIG): a change that had been confirmed was not in force in time, or an invalid one was taken. On the users' machines the cause is not known; this is one that shows the same here.

Cause: of several versions that one read brings, only the last was decoded. If it cannot be decoded, is lower, or deletes the key, the versions before it were lost for good, since the next read begins behind them. Besides, a version that is no number counted as version 0 and came into force where none was.

Change: a read delivers all versions, and the highest that can be decoded comes into force. A version that is no hexadecimal number is an error.

--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -18,12 +18,13 @@
 
 constexpr int hexadecimal = 16;
 
-std::uint64_t decodeVersion(const json &value)
+/** Number of a version; nothing unless all of the text is one. */
+std::optional<std::uint64_t> decodeVersion(const std::string &text)
 {
-    const auto text = value.get<std::string>();
     std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version, hexadecimal);
-    return version;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version, hexadecimal);
+    const bool whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return whole ? std::optional(version) : std::nullopt;
 }
 
 Duration milliseconds(const json &object, const char *key)
@@ -145,6 +146,10 @@
 {
     try {
         const json document = json::parse(text);
+        const auto version = decodeVersion(document.at("version").get<std::string>());
+        if (!version) {
+            return Error{"decode configuration", "store", "the version is not a hexadecimal number"};
+        }
         std::vector<routing::Route> routes;
         for (const json &listener : document.at("listeners")) {
             const auto host = listener.at("host").get<std::string>();
@@ -164,11 +169,8 @@
             return organisations.error();
         }
         logSharedKeys(organisations.value());
-        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(decodeVersion(document.at("version")),
-                                                                                      std::move(routes),
-                                                                                      std::move(services),
-                                                                                      decodeLimits(document),
-                                                                                      std::move(organisations.value())));
+        return routing::RouteTablePointer(std::make_shared<const routing::RouteTable>(
+            *version, std::move(routes), std::move(services), decodeLimits(document), std::move(organisations.value())));
     } catch (const json::exception &error) {
         return Error{"decode configuration", "store", describe(error)};
     }
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -222,7 +222,7 @@
     if (from.offset == 0) {
         readNewest(names::operatorTopic, [done](const Result<NewestPage> &page) {
             if (page.has_value()) {
-                done(newestConfiguration(page.value().records, page.value().next, true));
+                done(collectConfigurations(page.value().records, page.value().next, true));
             } else {
                 done(page.error());
             }
@@ -231,7 +231,7 @@
     }
     readChanges(names::operatorTopic, from, wait, [this, done, wait](const Result<LogRecords> &records) {
         if (records.has_value()) {
-            done(newestConfiguration(records.value().records, records.value().next, false));
+            done(collectConfigurations(records.value().records, records.value().next, false));
         } else if (records.error().reason == goneReason) {
             readConfiguration({}, wait, done);
         } else {
--- a/src/platform/storerecords.cpp
+++ b/src/platform/storerecords.cpp
@@ -53,15 +53,17 @@
     return update;
 }
 
-proxy::ConfigurationUpdate newestConfiguration(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete)
+proxy::ConfigurationUpdate collectConfigurations(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete)
 {
-    std::string text;
+    proxy::ConfigurationUpdate update;
+    update.next = next;
+    update.complete = complete;
     for (const KeyedRecord &record : records) {
-        if (record.key == names::configurationKey) {
-            text = record.value;
+        if (record.key == names::configurationKey && !record.value.empty()) {
+            update.texts.push_back(record.value);
         }
     }
-    return {text, next, complete};
+    return update;
 }
 
 membership::InstanceList decodeInstances(const std::vector<KeyedRecord> &records)
--- a/src/platform/storerecords.h
+++ b/src/platform/storerecords.h
@@ -15,8 +15,8 @@
 /** Decodes upstreams' entries and removals, in log order. complete: the records are all that there are. */
 proxy::UpstreamUpdate decodeUpstreams(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete);
 
-/** Finds the last configuration that the operator wrote. */
-proxy::ConfigurationUpdate newestConfiguration(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete);
+/** Collects the versions of the operator's configuration, in log order. */
+proxy::ConfigurationUpdate collectConfigurations(const std::vector<KeyedRecord> &records, const fleet::StorePosition &next, bool complete);
 
 /** Decodes the newest record of each instance. */
 membership::InstanceList decodeInstances(const std::vector<KeyedRecord> &records);
--- a/src/proxy/storeaccess.h
+++ b/src/proxy/storeaccess.h
@@ -20,9 +20,9 @@
 
 namespace jackdawdoor::proxy {
 
-/** Newest configuration; text is empty if nothing was written since the position. */
+/** Versions of the configuration that were written since the position. */
 struct ConfigurationUpdate {
-    std::string text; ///< as the operator wrote it; input of decodeConfiguration
+    std::vector<std::string> texts; ///< as the operator wrote them, in log order; inputs of decodeConfiguration
     fleet::StorePosition next;
     bool complete = false; ///< the newest of all, not only of those since the position
 };
--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -115,9 +115,7 @@
         return;
     }
     m_configurationNext = update.next;
-    if (!update.text.empty()) {
-        applyConfiguration(update.text, "store");
-    }
+    applyHighest(update.texts);
 }
 
 /** Returns false if the answer was sent before the store was restored. */
@@ -184,6 +182,14 @@
     m_hooks.onConfiguration(m_table);
 }
 
+/** Applies the highest of the versions that can be decoded. The last one is nearly always the highest. */
+void StoreReplica::applyHighest(const std::vector<std::string> &texts)
+{
+    std::for_each(texts.rbegin(), texts.rend(), [this](const std::string &text) {
+        applyConfiguration(text, "store");
+    });
+}
+
 void StoreReplica::applyUpstreams(const UpstreamUpdate &update)
 {
     if (update.unreadable > 0) {
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -100,6 +100,7 @@
     bool applyAllUpstreams(const UpstreamUpdate &update);
     fleet::UpstreamDelta applyChangedUpstreams(const std::vector<UpstreamChange> &changes, bool &changed);
     void applyConfiguration(const std::string &text, const char *source);
+    void applyHighest(const std::vector<std::string> &texts);
     void applyUpstreams(const UpstreamUpdate &update);
     void onReadEnd(TimePoint beginTime, bool succeeded, const Error *error);
     void fetchState(const settings::Endpoint &from);
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -111,3 +111,35 @@
         CHECK_MESSAGE(second.waitForInstances(2, std::chrono::seconds{5}), "the second instance did not read the list");
     }
 }
+
+TEST_CASE("a version that cannot be decoded, or is lower, does not hide the one written before it")
+{
+    for (const char *later : {"{}", R"({"version":"zz","listeners":[],"clusters":[]})", "lower"}) {
+        CAPTURE(std::string(later));
+        PagedStore paged;
+        ProxyInstance instance(paged.store);
+        REQUIRE(instance.waitForVersion(1));
+        paged.store.setUnavailableTopic(operatorTopic);
+        standins::putConfiguration(paged.store, 5);
+        if (std::string(later) == "lower") {
+            standins::putConfiguration(paged.store, 3);
+        } else {
+            paged.store.put(operatorTopic, "config", later);
+        }
+        paged.store.setUnavailableTopic({});
+        CHECK_MESSAGE(instance.waitForVersion(5), "the confirmed version is not in force");
+    }
+}
+
+TEST_CASE("a configuration whose version is not a number does not come into force")
+{
+    PagedStore paged;
+    paged.store.put(operatorTopic, "config", R"({"version":"zz","listeners":[],"clusters":[]})");
+    ProxyInstance instance(paged.store);
+    REQUIRE(instance.waitForUpstreams(upstreamCount));
+    bool ready = true;
+    instance.call([&](proxy::Gateway &gateway) {
+        ready = gateway.ready();
+    });
+    CHECK_FALSE(ready);
+}
