Read the configuration also while the upstreams cannot be read

What callers saw (CONFIG): a change that had been confirmed was not in force in time.

Cause: both topics shared one state of the store. A failed read of the upstreams meant "the store is unreachable", and no read of the configuration began until one of the upstreams succeeded; a pending one was abandoned and its answer thrown away. Class of fault: the state of one resource decides about another.

Ruled out: that the configuration was read and rejected (no call for it was made).

Change: each topic has its own schedule (StoreRead): one read at a time, a delay of 0.5 to 1 s after failures. An answer that comes after its read was abandoned still brings a higher version into force, but sets no position. Price: while the store is away, an instance makes a second call in each of its retries.

--- a/src/proxy/storereplica.cpp
+++ b/src/proxy/storereplica.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jackdawdoor::proxy {
 
@@ -17,11 +18,9 @@
 constexpr Duration configurationLongPoll = std::chrono::milliseconds{800};
 /** Minimum time between configuration reads, so that changes in quick succession are read together. */
 constexpr Duration minimumConfigurationInterval = std::chrono::milliseconds{200};
-/** Delay after the first failed read; it doubles up to maximumDoublings times. Refused calls count as calls, too. */
-constexpr Duration initialRetryDelay = std::chrono::milliseconds{500};
-constexpr int maximumDoublings = 1;
 /** An instance counts as reading the store for this long after a successful read. */
 constexpr Duration recentReadLifetime = std::chrono::milliseconds{1000};
+
 } // namespace
 
 StoreReplica::StoreReplica(net::EventLoop &loop, StoreAccess access, InstanceId self, DataCentreId dataCentre, StoreReplicaHooks hooks)
@@ -42,80 +41,101 @@
     // While the store is away, upstreams cannot confirm their entries.
     const TimePoint asOf = now - m_readSchedule.age(now);
     publishCatalogue(asOf != TimePoint{} && m_catalogue.expireUnconfirmed(asOf));
-    if (m_readSchedule.shouldRead(now, view) && now >= m_retryAt && !m_upstreamsPending) {
+    if (m_readSchedule.shouldRead(now, view)) {
         read(now);
     }
 }
 
 void StoreReplica::read(TimePoint now)
 {
-    m_readSchedule.recordRead(now);
-    m_upstreamsPending = true;
-    readUpstreams(now, m_upstreamsNext);
-    // While the store is unreachable, one call at a time is enough to detect its recovery.
-    if (!m_storeReachable || m_configurationPending || now - m_configurationReadAt < minimumConfigurationInterval) {
-        return;
+    const bool upstreamsDue = m_upstreamsRead.due(now);
+    const bool configurationDue = m_configurationRead.due(now) && now - m_configurationRead.begunAt() >= minimumConfigurationInterval;
+    if (upstreamsDue || configurationDue) {
+        m_readSchedule.recordRead(now);
+    }
+    if (upstreamsDue) {
+        readUpstreams(now, m_upstreamsNext);
+    }
+    if (configurationDue) {
+        readConfiguration(now, m_configurationNext, configurationLongPoll);
     }
-    m_configurationPending = true;
-    m_configurationReadAt = now;
-    readConfiguration(now, m_configurationNext, configurationLongPoll);
 }
 
 void StoreReplica::readUpstreams(TimePoint now, const fleet::StorePosition &from)
 {
-    m_access.readUpstreams(from, [this, now, from](const Result<UpstreamUpdate> &update) {
+    m_access.readUpstreams(from, [this, now, from, read = m_upstreamsRead.begin(now)](const Result<UpstreamUpdate> &update) {
         if (update.has_value()) {
-            onUpstreamsRead(now, from, update.value());
+            onUpstreamsRead(read, now, from, update.value());
         } else {
-            m_upstreamsPending = false;
-            onReadEnd(now, false, &update.error());
+            onUpstreamsFailed(read, now, update.error());
         }
     });
 }
 
-void StoreReplica::onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update)
+void StoreReplica::onUpstreamsRead(StoreRead::Number read,
+                                   TimePoint beginTime,
+                                   const fleet::StorePosition &from,
+                                   const UpstreamUpdate &update)
 {
-    const bool isCurrent = observeHistory(beginTime, update.next.history);
-    if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
+    if (!observeHistory(beginTime, update.next.history)) {
+        onUpstreamsFailed(read, beginTime, {"read upstreams", "store", "the answer is from before the store was restored"});
+        return;
+    }
+    if (!update.complete && !fleet::continues(from, update.next)) {
         readUpstreams(net::now(), {});
         return;
     }
-    m_upstreamsPending = false;
-    if (isCurrent) {
-        applyUpstreams(update);
+    m_upstreamsRead.succeed(read);
+    applyUpstreams(update);
+    m_readSchedule.advanceAsOf(beginTime);
+    m_lastRead = net::now();
+    if (!std::exchange(m_upstreamsReadable, true)) {
+        telemetry::writeLog(LogLevel::Info, "read upstreams", "the upstreams can be read again");
+        // A long poll that was pending meanwhile may have been lost, and would block further ones until its own timeout.
+        m_configurationRead.abandon();
+    }
+}
+
+void StoreReplica::onUpstreamsFailed(StoreRead::Number read, TimePoint beginTime, const Error &error)
+{
+    m_upstreamsRead.fail(net::now(), read);
+    if (std::exchange(m_upstreamsReadable, false)) {
+        telemetry::writeLog(LogLevel::Warning,
+                            "read upstreams",
+                            error.message(),
+                            {{"age-ms", std::to_string(m_readSchedule.age(beginTime).count() / 1000)}});
     }
-    const Error outdated{"read upstreams", "store", "the answer is from before the store was restored"};
-    onReadEnd(beginTime, isCurrent, &outdated);
 }
 
 void StoreReplica::readConfiguration(TimePoint now, const fleet::StorePosition &from, Duration wait)
 {
-    m_access.readConfiguration(from, wait, [this, now, from, generation = m_configurationReadGeneration](const auto &update) {
-        if (generation != m_configurationReadGeneration) {
-            return; // abandoned when the store failed
-        }
+    m_access.readConfiguration(from, wait, [this, now, from, read = m_configurationRead.begin(now)](const auto &update) {
         if (update.has_value()) {
-            onConfigurationRead(now, from, update.value());
-            return;
+            onConfigurationRead(read, now, from, update.value());
+        } else if (m_configurationRead.fail(net::now(), read)) {
+            telemetry::writeLog(LogLevel::Warning, "read configuration", update.error().message());
         }
-        m_configurationPending = false;
-        telemetry::writeLog(LogLevel::Warning, "read configuration", update.error().message());
     });
 }
 
-void StoreReplica::onConfigurationRead(TimePoint beginTime, const fleet::StorePosition &from, const ConfigurationUpdate &update)
+void StoreReplica::onConfigurationRead(StoreRead::Number read,
+                                       TimePoint beginTime,
+                                       const fleet::StorePosition &from,
+                                       const ConfigurationUpdate &update)
 {
-    const bool isCurrent = observeHistory(beginTime, update.next.history);
-    if (isCurrent && !update.complete && !fleet::continues(from, update.next)) {
-        readConfiguration(net::now(), {}, Duration::zero());
+    if (!observeHistory(beginTime, update.next.history)) {
+        m_configurationRead.succeed(read);
         return;
     }
-    m_configurationPending = false;
-    if (!isCurrent) {
+    if (!update.complete && !fleet::continues(from, update.next)) {
+        readConfiguration(net::now(), {}, Duration::zero());
         return;
     }
-    m_configurationNext = update.next;
+    // An answer that comes after its read was abandoned may still hold a higher version.
     applyHighest(update.texts);
+    if (m_configurationRead.succeed(read)) {
+        m_configurationNext = update.next;
+    }
 }
 
 /** Returns false if the answer was sent before the store was restored. */
@@ -141,30 +161,6 @@
     }
 }
 
-void StoreReplica::onReadEnd(TimePoint beginTime, bool succeeded, const Error *error)
-{
-    if (succeeded) {
-        m_readSchedule.advanceAsOf(beginTime);
-        m_lastRead = net::now();
-        m_failures = 0;
-        if (!m_storeReachable) {
-            telemetry::writeLog(LogLevel::Info, "read store", "the store is reachable again");
-        }
-        m_storeReachable = true;
-        return;
-    }
-    if (m_storeReachable) {
-        telemetry::writeLog(
-            LogLevel::Warning, "read store", error->message(), {{"age-ms", std::to_string(m_readSchedule.age(beginTime).count() / 1000)}});
-    }
-    m_storeReachable = false;
-    // The pending long poll may have been lost as well, and would block configuration reads until its own timeout.
-    m_configurationPending = false;
-    ++m_configurationReadGeneration;
-    m_retryAt = net::now() + initialRetryDelay * (1 << std::min(m_failures, maximumDoublings));
-    ++m_failures;
-}
-
 void StoreReplica::applyConfiguration(const std::string &text, const char *source)
 {
     const auto table = m_access.decodeConfiguration(text);
--- a/src/proxy/storereplica.h
+++ b/src/proxy/storereplica.h
@@ -14,6 +14,7 @@
 #include "membership/membershipview.h"
 #include "net/eventloop.h"
 #include "proxy/storeaccess.h"
+#include "proxy/storeread.h"
 #include "settings/settings.h"
 
 #include <functional>
@@ -93,8 +94,10 @@
     void read(TimePoint now);
     void readUpstreams(TimePoint now, const fleet::StorePosition &from);
     void readConfiguration(TimePoint now, const fleet::StorePosition &from, Duration wait);
-    void onUpstreamsRead(TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update);
-    void onConfigurationRead(TimePoint beginTime, const fleet::StorePosition &from, const ConfigurationUpdate &update);
+    void onUpstreamsRead(StoreRead::Number read, TimePoint beginTime, const fleet::StorePosition &from, const UpstreamUpdate &update);
+    void onUpstreamsFailed(StoreRead::Number read, TimePoint beginTime, const Error &error);
+    void
+    onConfigurationRead(StoreRead::Number read, TimePoint beginTime, const fleet::StorePosition &from, const ConfigurationUpdate &update);
     bool observeHistory(TimePoint beginTime, const std::optional<fleet::StoreHistoryNumber> &stated);
     void noteRestoration(const std::optional<fleet::StoreHistoryNumber> &stated, const char *source);
     bool applyAllUpstreams(const UpstreamUpdate &update);
@@ -102,7 +105,6 @@
     void applyConfiguration(const std::string &text, const char *source);
     void applyHighest(const std::vector<std::string> &texts);
     void applyUpstreams(const UpstreamUpdate &update);
-    void onReadEnd(TimePoint beginTime, bool succeeded, const Error *error);
     void fetchState(const settings::Endpoint &from);
     bool importUpstreams(const nlohmann::json &state, bool isCurrent);
     void publishCatalogue(bool changed);
@@ -119,15 +121,11 @@
     fleet::StoreHistory m_history;
     fleet::StorePosition m_configurationNext;
     fleet::StorePosition m_upstreamsNext; ///< the catalogue holds all records before it
-    bool m_configurationPending = false;
-    std::uint64_t m_configurationReadGeneration = 0; ///< changes when a pending read is abandoned
-    bool m_upstreamsPending = false;
+    StoreRead m_configurationRead;
+    StoreRead m_upstreamsRead;
     bool m_fetching = false;
-    bool m_storeReachable = true;
-    int m_failures = 0;
-    TimePoint m_retryAt{};
-    TimePoint m_lastRead{};
-    TimePoint m_configurationReadAt{};
+    bool m_upstreamsReadable = true; ///< the last read of them succeeded
+    TimePoint m_lastRead{}; ///< of the upstreams, successful
     ExportedState m_exported;
 };
 
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -143,3 +143,28 @@
     });
     CHECK_FALSE(ready);
 }
+
+TEST_CASE("a list of upstreams that cannot be read does not keep a configuration from coming into force")
+{
+    SUBCASE("while the instance runs")
+    {
+        PagedStore paged;
+        ProxyInstance instance(paged.store);
+        REQUIRE(instance.waitForVersion(1));
+        REQUIRE(instance.waitForUpstreams(upstreamCount));
+        paged.store.setUnavailableTopic(upstreamTopic);
+        std::this_thread::sleep_for(std::chrono::milliseconds{1500}); // several reads fail
+        standins::putConfiguration(paged.store, 2);
+        CHECK_MESSAGE(instance.waitForVersion(2), "the confirmed version is not in force");
+    }
+    SUBCASE("when the instance starts")
+    {
+        PagedStore paged;
+        paged.store.setUnavailableTopic(upstreamTopic);
+        ProxyInstance instance(paged.store);
+        REQUIRE(instance.waitForVersion(1));
+        std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+        standins::putConfiguration(paged.store, 2);
+        CHECK_MESSAGE(instance.waitForVersion(2), "the confirmed version is not in force");
+    }
+}
