Do not take a reset during an upload for the orderly end of an answer

The caller got that part as a complete answer.

Cause: after a reset the write and the read of the socket are both due. The write is made first; it fails and takes the socket's error with it, so that the read finds an end of the stream. libevent reports both in one event, ERROR with EOF, and the EOF alone was looked at: it completes an answer that has no length. Class of fault: part of an event is taken for the whole.

Ruled out: a reset while no upload is pending, which "a truncated answer never looks complete" has covered, since the read then gets the error itself.

Change: only an event that tells of the end of reading, and of no error, is an orderly end. The store's answers come over the same class. Looked for elsewhere: evhttp (fetches, serve) compares the event as a whole, and serve refuses answers without a length.

--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -304,7 +304,8 @@
         connection->endIdle();
         return;
     }
-    const bool orderly = (what & BEV_EVENT_EOF) != 0;
+    // A write that fails takes the socket's error with it, so that the read after a reset finds an end of the stream.
+    const bool orderly = (what & BEV_EVENT_EOF) != 0 && (what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING)) == 0;
     if (orderly) {
         const std::shared_ptr<bool> alive = connection->m_alive;
         connection->m_closing = true;
--- a/test/standins/scriptedupstream.cpp
+++ b/test/standins/scriptedupstream.cpp
@@ -59,8 +59,9 @@
     return findLine(head, name);
 }
 
-ScriptedUpstream::ScriptedUpstream(Script script)
+ScriptedUpstream::ScriptedUpstream(Script script, Answers answers)
     : m_script(std::move(script))
+    , m_answers(answers)
 {
     openListener();
     m_acceptor = std::thread([this] {
@@ -185,7 +186,8 @@
             continue;
         }
         ReceivedRequest request{input.substr(0, headEnd + 2), {}};
-        const std::size_t length = net::parseNumber(request.header("Content-Length")).value_or(0);
+        const std::size_t announced = net::parseNumber(request.header("Content-Length")).value_or(0);
+        const std::size_t length = m_answers == Answers::AfterHead ? 0 : announced;
         if (input.size() < headEnd + 4 + length) {
             continue;
         }
@@ -225,6 +227,7 @@
             m_repeatedEnds += sent ? 0 : 1;
         }
         if (!sent || reply.closeAfter || reply.resetAfter) {
+            std::this_thread::sleep_for(reply.endDelay);
             break;
         }
     }
--- a/test/standins/scriptedupstream.h
+++ b/test/standins/scriptedupstream.h
@@ -24,6 +24,7 @@
     std::string rest = {}; ///< sent after restDelay
     Duration restDelay = {};
     std::string repeated = {}; ///< sent after the rest, again and again until the peer closes the connection
+    Duration endDelay = {}; ///< before the connection is closed or reset
     Duration crashFor = {}; ///< resets all connections and refuses new ones for this long, like a process that ends and restarts
 };
 
@@ -43,7 +44,13 @@
     /** Called for each request; calls may come from different threads but do not overlap. */
     using Script = std::function<ScriptedReply(const ReceivedRequest &)>;
 
-    explicit ScriptedUpstream(Script script);
+    /** When the upstream answers a request. */
+    enum class Answers {
+        AfterBody,
+        AfterHead, ///< without reading the body; the script sees none
+    };
+
+    explicit ScriptedUpstream(Script script, Answers answers = Answers::AfterBody);
     ~ScriptedUpstream();
     ScriptedUpstream(const ScriptedUpstream &) = delete;
     ScriptedUpstream &operator=(const ScriptedUpstream &) = delete;
@@ -73,6 +80,7 @@
     bool crashed() const;
 
     Script m_script;
+    Answers m_answers;
     std::mutex m_mutex;
     std::vector<ReceivedRequest> m_requests;
     std::vector<int> m_sockets;
