Reject an answer whose head is not valid HTTP

Cause: http-parser accepts more than RFC 9112 allows, and each status below 200 counted as an interim answer. A 000 was skipped, so that the bytes behind it became the answer, or the request waited for its deadline; 600 and 999 were passed on; 101 ended HTTP on the connection. A line that begins with a blank became part of the line before it. 1xx, 204 and 304 were read with the body whose length they state, which ends elsewhere for every other reader.

Change: AnswerHeadSyntax checks the bytes of each answer's head before http-parser sees them: a version 1.x, three digits from 100 to 599 but 101, names of token characters, no folded lines, no control bytes. What fails is a malformed answer: retried if that is allowed, 502 otherwise. One function says which statuses have no body. MessageParser::reason() was not used and goes.

--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -157,6 +157,22 @@
     return kept;
 }
 
+bool isAnswerStatus(int status)
+{
+    constexpr int first = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int last = 599;
+    return status >= first && status <= last && status != switchingProtocols;
+}
+
+bool answerHasBody(int status)
+{
+    constexpr int firstFinal = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status >= firstFinal && status != noContent && status != notModified;
+}
+
 bool isHeaderName(std::string_view text)
 {
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -62,6 +62,12 @@
 /** Reason why two parsers could disagree on where the request ends, which would allow request smuggling; or nothing. */
 std::optional<std::string> framingFault(const Headers &headers);
 
+/** True for the status of a final or interim answer. A switch of protocols is none: requests never ask for it. */
+bool isAnswerStatus(int status);
+
+/** False for the statuses whose answers end with their head, whatever length they state. */
+bool answerHasBody(int status);
+
 /** True if the text is a header name that RFC 9110 allows; a space before the colon, for example, is not part of one. */
 bool isHeaderName(std::string_view text);
 
--- a/src/proxy/callerconnectionanswers.cpp
+++ b/src/proxy/callerconnectionanswers.cpp
@@ -33,13 +33,6 @@
     return {text, static_cast<std::size_t>(length)};
 }
 
-bool hasBody(int status)
-{
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return status != noContent && status != notModified;
-}
-
 } // namespace
 
 void CallerConnection::reply(int status, const net::Headers &headers, std::string_view body)
@@ -48,7 +41,7 @@
         return;
     }
     std::string out = replyHead(status, headers, body.size());
-    if (!m_noBody && hasBody(status)) {
+    if (!m_noBody && net::answerHasBody(status)) {
         out += body;
     }
     write(out);
@@ -62,7 +55,7 @@
     }
     const std::string out = replyHead(status, headers, body.size());
     write(out);
-    if (!m_noBody && hasBody(status)) {
+    if (!m_noBody && net::answerHasBody(status)) {
         write(body);
     }
     answerEnded();
@@ -73,7 +66,7 @@
     std::string out;
     out.reserve(512);
     appendHead(out, status, headers);
-    if (hasBody(status)) {
+    if (net::answerHasBody(status)) {
         out += "Content-Length: " + std::to_string(length) + "\r\n";
     }
     out += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
--- a/src/proxy/messageparser.cpp
+++ b/src/proxy/messageparser.cpp
@@ -26,6 +26,7 @@
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = {};
+    m_answerSyntax.reset();
     m_headBytes = 0;
     m_lastWasValue = true;
     m_headComplete = false;
@@ -58,6 +59,10 @@
     if (m_complete) {
         reset();
     }
+    if (m_kind == Kind::Answer && !m_answerSyntax.accept(bytes)) {
+        m_failed = true;
+        return 0;
+    }
     const std::size_t used = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     if (!m_headComplete) {
         m_headBytes += used;
@@ -97,11 +102,6 @@
     return m_failed;
 }
 
-std::string MessageParser::reason() const
-{
-    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
-}
-
 bool MessageParser::inMessage() const
 {
     return m_inMessage;
@@ -177,8 +177,9 @@
     }
     head.keepAlive = http_should_keep_alive(parser) != 0;
     head.http10 = parser->http_major == 1 && parser->http_minor == 0;
+    const bool withoutBody = self->m_kind == Kind::Answer && (self->m_noBody || !net::answerHasBody(head.status));
     self->m_hooks.onHead(std::move(head));
-    return self->m_kind == Kind::Answer && self->m_noBody ? 1 : 0;
+    return withoutBody ? 1 : 0;
 }
 
 int MessageParser::onBody(http_parser *parser, const char *at, std::size_t length)
--- a/src/proxy/messageparser.h
+++ b/src/proxy/messageparser.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "net/httpmessage.h"
+#include "proxy/answerheadsyntax.h"
 
 #include <http_parser.h>
 
@@ -62,9 +63,6 @@
 
     bool failed() const;
 
-    /** Description of the parse error. */
-    std::string reason() const;
-
     /** True while a message is partially received. */
     bool inMessage() const;
 
@@ -85,6 +83,7 @@
     Kind m_kind;
     Hooks m_hooks;
     http_parser m_parser{};
+    AnswerHeadSyntax m_answerSyntax;
     MessageHead m_head;
     std::size_t m_headBytes = 0;
     bool m_lastWasValue = true;
--- a/test/error/brokenanswers_test.cpp
+++ b/test/error/brokenanswers_test.cpp
@@ -4,8 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace jackdawdoor;
 using standins::callerRequest;
@@ -49,6 +51,15 @@
     std::unique_ptr<ProxyInstance> instance;
 };
 
+/** Answer that a caller gets when the upstream sends these bytes and keeps the connection open. */
+std::string answerWhenUpstreamSends(const std::function<std::string(const ReceivedRequest &)> &bytes)
+{
+    ScriptedUpstream upstream([&bytes](const ReceivedRequest &request) {
+        return ScriptedReply{bytes(request)};
+    });
+    return OneUpstream(upstream).answerTo("x");
+}
+
 bool isBadGateway(const std::string &answer)
 {
     return answer.starts_with("HTTP/1.1 502");
@@ -82,3 +93,54 @@
         }
     }
 }
+
+TEST_CASE("an answer whose status is not one of HTTP is not taken for an answer, nor skipped for the bytes behind it")
+{
+    for (const char *status : {"000", "007", "099", "600", "999", "0200", "20", "2x0", "101"}) {
+        for (const bool followed : {false, true}) {
+            CAPTURE(std::string(status));
+            CAPTURE(followed);
+            const std::string answer = answerWhenUpstreamSends([&](const ReceivedRequest &request) {
+                const std::string first =
+                    "HTTP/1.1 " + std::string(status) + " X\r\n" + ownLines(request) + "Content-Length: 4\r\n\r\nbody";
+                return first + (followed ? ScriptedUpstream::answerTo(request, 200, "behind") : std::string{});
+            });
+            CHECK_MESSAGE(isBadGateway(answer), "unexpected answer: " << answer.substr(0, 300));
+        }
+    }
+}
+
+TEST_CASE("an answer with a malformed header line is not passed on")
+{
+    const std::vector<std::string> lines{"X Y: 1",
+                                         " X: 1",
+                                         "X : 1",
+                                         "\tX: 1",
+                                         "X\t: 1",
+                                         "X\x01Y: 1",
+                                         "X\x7f: 1",
+                                         "\x1bX: 1",
+                                         "X\x80Y: 1",
+                                         "X",
+                                         ": 1",
+                                         "X\rY: 1",
+                                         "Y: 1\r\n z",
+                                         "Content-Length : 2",
+                                         "X: a\x01z",
+                                         "Transfer-Encoding : chunked",
+                                         "X\r\n Y: 1",
+                                         std::string("X\0Y: 1", 6),
+                                         "Y: 1\r\n\tX: 1"};
+    for (const std::string &line : lines) {
+        for (const bool first : {false, true}) {
+            CAPTURE(line);
+            CAPTURE(first);
+            const std::string answer = answerWhenUpstreamSends([&](const ReceivedRequest &request) {
+                const std::string own = ownLines(request);
+                const std::string head = first ? line + "\r\n" + own : own + line + "\r\n";
+                return "HTTP/1.1 200 X\r\n" + head + "Content-Length: 4\r\n\r\nbody";
+            });
+            CHECK_MESSAGE(isBadGateway(answer), "unexpected answer: " << answer.substr(0, 300));
+        }
+    }
+}
