Reject malformed heads also in fetches and in the upstream answers of serve

A fetch, by which instances get their peers' state and the commands talk to the fleet, looked at no header at all; serve checked names and framing, but passed on a status of 600.

Evidence: transport_test, five heads each through serve and through a fetch: 5 of 10 assertions failed on the former code, 10 pass. evhttp itself refuses 000.

Change: both check the status and the header lines when the head has arrived. The headers of a message are read in one place in place of two.

--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -1,5 +1,7 @@
 #include "net/httpfetch.h"
 
+#include "net/receivedheaders.h"
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -68,6 +70,7 @@
     void send(const evhttp_uri *uri, const std::string &host)
     {
         evhttp_request *request = evhttp_request_new(&Exchange::onDone, this);
+        evhttp_request_set_header_cb(request, &Exchange::onHeaders);
         evkeyvalq *headers = evhttp_request_get_output_headers(request);
         evhttp_add_header(headers, "Host", host.c_str());
         evhttp_add_header(headers, "Connection", "close");
@@ -88,6 +91,12 @@
         }
     }
 
+    /** evhttp accepts header lines that are not valid HTTP, and would take them for others or for none. */
+    static int onHeaders(evhttp_request *request, void * /*exchange*/)
+    {
+        return isAnswerStatus(evhttp_request_get_response_code(request)) && !framingFault(receivedHeaders(request)) ? 0 : -1;
+    }
+
     static void onDone(evhttp_request *request, void *exchange)
     {
         auto *self = static_cast<Exchange *>(exchange);
--- a/src/net/serverexchange.cpp
+++ b/src/net/serverexchange.cpp
@@ -1,5 +1,7 @@
 #include "net/serverexchange.h"
 
+#include "net/receivedheaders.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -148,11 +150,7 @@
 
 Headers ServerExchange::receivedHeaders() const
 {
-    Headers headers;
-    for (const evkeyval *entry = evhttp_request_get_input_headers(m_request)->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
-        headers.push_back({entry->key, entry->value});
-    }
-    return headers;
+    return net::receivedHeaders(m_request);
 }
 
 RequestContent ServerExchange::content() const
--- a/src/net/upstreamattempt.cpp
+++ b/src/net/upstreamattempt.cpp
@@ -1,10 +1,11 @@
 #include "net/upstreamattempt.h"
 
+#include "net/receivedheaders.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 #include <array>
@@ -34,18 +35,9 @@
     return found == types.end() ? EVHTTP_REQ_GET : found->second;
 }
 
-Headers inputHeaders(evhttp_request *request)
-{
-    Headers headers;
-    for (const evkeyval *entry = evhttp_request_get_input_headers(request)->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
-        headers.push_back({entry->key, entry->value});
-    }
-    return headers;
-}
-
 bool hasBody(const std::string &method, int status)
 {
-    return method != "HEAD" && status != 204 && status != 304;
+    return method != "HEAD" && answerHasBody(status);
 }
 
 } // namespace
@@ -142,8 +134,8 @@
     if (status == 100) {
         return true;
     }
-    const Headers headers = inputHeaders(request);
-    if (m_finished || status < 200 || framingFault(headers)) {
+    const Headers headers = receivedHeaders(request);
+    if (m_finished || status < 200 || !isAnswerStatus(status) || framingFault(headers)) {
         return false;
     }
     m_headSeen = true;
--- a/test/error/transport_test.cpp
+++ b/test/error/transport_test.cpp
@@ -1,7 +1,9 @@
 /** Handling of faulty upstreams and callers by the network tasks. */
+#include "net/httpfetch.h"
 #include "net/httpserver.h"
 #include "standins/directproxy.h"
 #include "standins/rawclient.h"
+#include "standins/scriptedupstream.h"
 #include "standins/upstream.h"
 
 #include <doctest/doctest.h>
@@ -95,6 +97,29 @@
     CHECK_MESSAGE(ends.at(0) == net::RequestEnd::Broken, "a truncated answer counts as answered");
 }
 
+TEST_CASE("an answer with a malformed head is passed on neither by a proxied request nor by a fetch")
+{
+    for (const char *head : {"HTTP/1.1 000 X",
+                             "HTTP/1.1 600 X",
+                             "HTTP/1.1 200 X\r\nX Y: 1",
+                             "HTTP/1.1 200 X\r\nX\x01Y: 1",
+                             "HTTP/1.1 200 X\r\nContent-Length : 2"}) {
+        CAPTURE(std::string(head));
+        standins::ScriptedUpstream upstream([head](const standins::ReceivedRequest &) {
+            return standins::ScriptedReply{std::string(head) + "\r\nContent-Length: 4\r\n\r\nbody", true};
+        });
+        standins::DirectProxy proxy(orderFor(upstream.address()));
+        RawClient client(proxy.port());
+        client.send(request);
+        const std::string answer = client.receiveAnswer();
+        CHECK_MESSAGE(answer.starts_with("HTTP/1.1 502"), "unexpected answer: " << answer);
+        net::FetchRequest fetched;
+        fetched.url = "http://" + upstream.address() + "/";
+        const auto result = net::fetchAndWait(fetched);
+        CHECK_MESSAGE(!result.has_value(), "fetched with status " << (result.has_value() ? result.value().status : 0));
+    }
+}
+
 TEST_CASE("a caller that disconnects cancels its attempt")
 {
     standins::Upstream upstream;
