Ignore an upstream whose name cannot be sent in a header

By reading, then shown by a test: requests name the upstream in a header, and the name is the key of its entry in the store. An entry of another writer that is otherwise complete, under a key with a line break, added a line of its choice to each request to the address that it states.

Evidence: foreignentries_test on the former code: the instance uses the entry (2 of 3 assertions failed); 4 of 4 pass. The same check holds for entries that other instances tell.

Change: a usable entry has an id without control characters. The check of the names of organisations is the same function now; it allows a tab, which a header may hold.

--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -178,6 +178,11 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
+bool isHeaderValue(std::string_view text)
+{
+    return !text.empty() && !hasControlCharacter(text);
+}
+
 std::optional<std::string> framingFault(const Headers &headers)
 {
     for (const Header &header : headers) {
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -71,6 +71,9 @@
 /** True if the text is a header name that RFC 9110 allows; a space before the colon, for example, is not part of one. */
 bool isHeaderName(std::string_view text);
 
+/** True if the text can be the value of a header: it is not empty and has no control character. A line break would add headers. */
+bool isHeaderValue(std::string_view text);
+
 /** Value of an unsigned decimal number, or nothing. */
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -1,6 +1,7 @@
 #include "platform/documents.h"
 
 #include "net/fleetauthentication.h"
+#include "net/httpmessage.h"
 #include "proxy/usableentry.h"
 #include "settings/settings.h"
 #include "telemetry/log.h"
@@ -79,16 +80,6 @@
     return limits;
 }
 
-/** True if the name can be the value of a header; a line break in it would let a configuration add headers to requests. */
-bool isHeaderValue(const std::string &name)
-{
-    constexpr unsigned char firstPrintable = 0x20;
-    constexpr unsigned char deleteCharacter = 0x7f;
-    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char letter) {
-        return letter >= firstPrintable && letter != deleteCharacter;
-    });
-}
-
 routing::Organisation decodeOrganisation(const json &in)
 {
     routing::Organisation organisation;
@@ -112,7 +103,7 @@
     });
     for (const json &in : document.at("tenants").get_ref<const json::array_t &>()) {
         routing::Organisation organisation = decodeOrganisation(in);
-        if (!isHeaderValue(organisation.name.value)) {
+        if (!net::isHeaderValue(organisation.name.value)) {
             return Error{"decode configuration", "store", "the name of an organisation is empty or has control characters"};
         }
         if (organisation.requestsPerSecond < 0 || organisation.burst < 0) {
--- a/src/proxy/usableentry.cpp
+++ b/src/proxy/usableentry.cpp
@@ -1,12 +1,14 @@
 #include "proxy/usableentry.h"
 
+#include "net/httpmessage.h"
 #include "settings/settings.h"
 
 namespace jackdawdoor::proxy {
 
 bool isUsableEntry(const fleet::UpstreamEntry &entry)
 {
-    const bool named = !entry.id.empty() && !entry.service.empty();
+    // Requests name the upstream in a header.
+    const bool named = net::isHeaderValue(entry.id.value) && !entry.service.empty();
     return named && entry.slots >= 1 && settings::parseEndpoint(entry.address).has_value();
 }
 
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -168,3 +168,13 @@
         CHECK_MESSAGE(instance.waitForVersion(2), "the confirmed version is not in force");
     }
 }
+
+TEST_CASE("an entry whose name has a line break adds no line to a request")
+{
+    PagedStore paged;
+    standins::putUpstream(paged.store, "m\r\nX-Added: 1", paged.upstream.address(), 1);
+    CHECK(paged.answerAfterStart().starts_with("HTTP/1.1 200"));
+    for (const ReceivedRequest &request : paged.upstream.requests()) {
+        CHECK(request.header("X-Added").empty());
+    }
+}
