--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -30,7 +30,9 @@
 
 Duration milliseconds(const json &object, const char *key)
 {
-    return fromSeconds(object.value(key, 0.0) / 1000);
+    constexpr double dayMilliseconds = 24.0 * 3600 * 1000;
+    // Larger numbers would overflow when they are added to a time.
+    return fromSeconds(std::clamp(object.value(key, 0.0), -dayMilliseconds, dayMilliseconds) / 1000);
 }
 
 /** Only these route types are known to be idempotent; all others, including unknown ones, are treated as unsafe. */
