--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -1,6 +1,6 @@
 #include "proxy/callerconnection.h"
 
-#include "proxy/outboundconnection.h"
+#include "net/peertimeout.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -69,7 +69,7 @@
     , m_sentProgress(net::now())
     , m_progressed(m_sentProgress)
 {
-    setPeerTimeout(socket, callerPeerTimeout);
+    net::setPeerTimeout(socket, callerPeerTimeout);
     bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
     bufferevent_setwatermark(m_socket, EV_READ, 0, maximumReadAheadBytes);
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
--- a/src/proxy/outboundconnection.cpp
+++ b/src/proxy/outboundconnection.cpp
@@ -1,16 +1,13 @@
 #include "proxy/outboundconnection.h"
 
+#include "net/peertimeout.h"
 #include "net/socketaddress.h"
+#include "proxy/keepalive.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <algorithm>
 #include <utility>
 
 namespace jackdawdoor::proxy {
@@ -19,26 +16,6 @@
 
 /** Idle time after which a connection is closed if the upstream states no Keep-Alive timeout. */
 constexpr Duration defaultIdleLimit = std::chrono::seconds{8};
-/** Subtracted from the upstream's Keep-Alive timeout, so that this side closes first. */
-constexpr Duration idleMargin = std::chrono::milliseconds{1500};
-
-/** Longer stated timeouts are shortened to a day, so that they can be added to a time point without overflow. */
-constexpr std::uint64_t maximumKeepAliveSeconds = 24ULL * 60 * 60;
-
-/** Timeout in a Keep-Alive header such as "timeout=5, max=100". */
-std::optional<Duration> keepAliveTimeout(const net::Headers &headers)
-{
-    constexpr std::string_view key = "timeout=";
-    const std::string value = net::findHeader(headers, "Keep-Alive");
-    for (const std::string_view part : net::splitTrimmed(value, ',')) {
-        if (part.substr(0, key.size()) == key) {
-            if (const auto seconds = net::parseNumber(part.substr(key.size()))) {
-                return std::chrono::seconds{std::min(*seconds, maximumKeepAliveSeconds)};
-            }
-        }
-    }
-    return std::nullopt;
-}
 
 } // namespace
 
@@ -57,20 +34,6 @@
     return "reset";
 }
 
-void setPeerTimeout(int socket, std::chrono::seconds timeout)
-{
-    const int on = 1;
-    const int period = 1;
-    const int probes = static_cast<int>(timeout.count());
-    const unsigned unacknowledged = static_cast<unsigned>(std::chrono::milliseconds{timeout}.count());
-    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &period, sizeof(period));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 OutboundConnection::OutboundConnection(net::EventLoop &loop,
                                        const settings::Endpoint &address,
                                        std::string requestIdHeader,
@@ -115,7 +78,7 @@
     // An immediate failure is reported through the deferred event callback.
     static_cast<void>(bufferevent_socket_connect(m_socket, reinterpret_cast<sockaddr *>(&address), static_cast<int>(length)));
     if (bufferevent_getfd(m_socket) >= 0) {
-        setPeerTimeout(bufferevent_getfd(m_socket), m_peerTimeout);
+        net::setPeerTimeout(bufferevent_getfd(m_socket), m_peerTimeout);
     }
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
 }
@@ -232,9 +195,7 @@
     }
     m_answer = std::move(head);
     m_closing = m_closing || !m_answer.keepAlive;
-    if (const auto timeout = keepAliveTimeout(m_answer.headers)) {
-        m_idleLimit = std::max(Duration::zero(), Duration{*timeout} - idleMargin);
-    }
+    m_idleLimit = keepAliveLimit(m_answer.headers).value_or(m_idleLimit);
     if (m_hooks.onHead) {
         m_hooks.onHead(m_answer);
     }
--- a/src/proxy/outboundconnection.h
+++ b/src/proxy/outboundconnection.h
@@ -125,8 +125,4 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-/** Configures a socket to detect an unresponsive peer within the timeout, by TCP keep-alive probes every second and
- * TCP_USER_TIMEOUT for unacknowledged bytes. Also sets TCP_NODELAY. */
-void setPeerTimeout(int socket, std::chrono::seconds timeout);
-
 } // namespace jackdawdoor::proxy
--- a/test/error/outboundconnection_test.cpp
+++ b/test/error/outboundconnection_test.cpp
@@ -1,4 +1,5 @@
 /** Error handling of connections to upstreams. */
+#include "net/peertimeout.h"
 #include "proxy/outboundconnection.h"
 #include "standins/scriptedupstream.h"
 
@@ -61,7 +62,7 @@
 TEST_CASE("a connection to an upstream survives several lost keep-alive probes")
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    proxy::setPeerTimeout(socket, proxy::upstreamPeerTimeout);
+    net::setPeerTimeout(socket, proxy::upstreamPeerTimeout);
     int probes = 0;
     unsigned unacknowledged = 0;
     socklen_t length = sizeof(probes);
