--- a/bench/soak/soak_main.cpp
+++ b/bench/soak/soak_main.cpp
@@ -1,9 +1,9 @@
 /** Soak test: runs real proxy processes on loopback, injects faults and checks what callers and upstreams observe.
  *
- * Faults overlap: processes are killed, paused, stopped as planned and told to reload their settings; the store fails in
- * several ways and comes back from older copies; upstreams fail, hang, send truncated or extra answers, drain, and announce that
- * they leave, rest or limit their rate; the configuration changes. The seed
- * determines the schedule, but not the timing of the processes. Terminates only processes that it started.
+ * Faults overlap: processes are killed, alone or all at once, paused, stopped as planned and told to reload their settings; the
+ * store fails in several ways, comes back from older copies and holds entries of other programs; upstreams fail, hang, send truncated or
+ * extra answers, drain, and announce that they leave, rest or limit their rate; the configuration changes. The seed determines the
+ * schedule, but not the timing of the processes. Terminates only processes that it started.
  */
 #include "soak/soakfleet.h"
 #include "soak/soakledger.h"
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -66,7 +66,7 @@
         pid_t pid = -1;
         std::atomic<bool> stopping{false};
         std::atomic<int> starts{0};
-        std::atomic<int> life{0}; ///< changes when the process is started, paused and resumed
+        std::atomic<int> life{0}; ///< changes when the process is started, paused, resumed and killed with all others
         bool paused = false;
         TimePoint pauseEnd{};
         TimePoint started{};
@@ -87,6 +87,8 @@
     void reap(TimePoint now);
     void injectRandomFault(TimePoint now);
     void injectProcessFault(TimePoint now);
+    void killAll();
+    void putForeignEntry();
     void injectUpstreamFault();
     void beginLeaving(SoakUpstream &upstream, TimePoint now);
     void restartUpstreams(TimePoint now);
