--- a/src/net/platformformat.h
+++ b/src/net/platformformat.h
@@ -1,4 +1,5 @@
-/** Parsers for the JSON of the platform's services. Malformed answers are errors that name the service. */
+/** Parsers for the JSON of the platform's services. Malformed answers are errors that name the service; in lists, items that cannot be
+ * read are skipped and logged. */
 #pragma once
 
 #include "base/error.h"
