Read a log to its end, also when large records fill an answer

Evidence: foreignentries_test with answers of 1,000 bytes and three larger records: the second instance did not find the first one in 5 s on the former code (1 of 2 assertions failed); it passes now.

Change: the end of the log, which each answer states, is decoded, and a read goes on until it. If a later answer fails, what was read is used and the next read goes on behind it.

--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -4,24 +4,20 @@
 #include "platform/names.h"
 #include "platform/storerecords.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace jackdawdoor::platform {
 
 namespace {
 
-/** The store normally answers in 4 ms, but takes some hundred times as long when it is slow. */
-constexpr Duration callTimeout = std::chrono::milliseconds{1000};
-constexpr int ok = 200;
-constexpr int gone = 410;
-/** Reason of an error when the store no longer has the records that were asked for. */
-constexpr const char *goneReason = "gone";
 constexpr std::size_t maximumIdle = 2;
 /** Bounds how long a long poll on a dead connection can hide a change. */
 constexpr std::chrono::seconds storePeerTimeout{3};
 
+} // namespace
+
+namespace detail {
+
 Error storeError(const char *call, const std::string &reason)
 {
     return {call, "store", reason};
@@ -32,7 +28,9 @@
     return "status " + std::to_string(status);
 }
 
-} // namespace
+} // namespace detail
+
+using detail::storeError;
 
 /** One call in progress. */
 struct StoreClient::Call {
@@ -50,20 +48,6 @@
     Answer answer;
 };
 
-/** A read of the newest record of each key, page by page. */
-struct StoreClient::NewestRead {
-    const char *topic = nullptr;
-    Continuation<NewestPage> done;
-    NewestPage collected;
-    std::optional<std::string> after; ///< last key of the previous page
-    std::size_t pages = 0; ///< read so far
-
-    Error error(const std::string &reason) const
-    {
-        return storeError("log-newest", reason + ", topic " + topic + ", page " + std::to_string(pages + 1));
-    }
-};
-
 StoreClient::StoreClient(net::EventLoop &loop, settings::Endpoint store)
     : m_loop(loop)
     , m_store(std::move(store))
@@ -136,87 +120,10 @@
     if (answered && call->connection->reusable() && m_idle.size() < maximumIdle) {
         m_idle.push_back(std::move(call->connection));
     }
-    m_onCall(call->name, answered && answer.value().status == ok);
+    m_onCall(call->name, answered && answer.value().status == detail::ok);
     call->hook(answer);
 }
 
-void StoreClient::readNewest(const char *topic, const Continuation<NewestPage> &done)
-{
-    const auto read = std::make_shared<NewestRead>();
-    read->topic = topic;
-    read->done = done;
-    readNextPage(read);
-}
-
-void StoreClient::readNextPage(const std::shared_ptr<NewestRead> &read)
-{
-    std::string target = std::string("/v1/log-newest?topic=") + read->topic + "&part=0";
-    if (read->after) {
-        target += "&after=" + net::encodeQueryValue(*read->after);
-    }
-    call("log-newest", "GET", target, {}, callTimeout, [this, read](const Result<Answer> &answer) {
-        if (answer.has_value()) {
-            onPage(read, answer.value());
-        } else {
-            read->done(read->error(answer.error().reason));
-        }
-    });
-}
-
-void StoreClient::onPage(const std::shared_ptr<NewestRead> &read, const Answer &answer)
-{
-    auto page = answer.status == ok ? decodeNewest(answer.body) : std::nullopt;
-    if (!page) {
-        read->done(read->error(answer.status == ok ? "the page cannot be decoded" : statusText(answer.status)));
-        return;
-    }
-    page->next.history = answer.history;
-    NewestPage &collected = read->collected;
-    if (read->pages == 0) {
-        collected.next = page->next;
-    } else if (collected.next.history != page->next.history) {
-        read->done(read->error("the store was restored between two pages"));
-        return;
-    }
-    ++read->pages;
-    // The pages are not one snapshot, so later reads start at the lowest of their end offsets.
-    collected.next.offset = std::min(collected.next.offset, page->next.offset);
-    collected.unreadable += page->unreadable;
-    const std::optional<std::string> last = page->records.empty() ? std::nullopt : std::optional(page->records.back().key);
-    std::move(page->records.begin(), page->records.end(), std::back_inserter(collected.records));
-    if (!page->hasMore) {
-        read->done(std::move(collected));
-    } else if (!last || last == read->after) {
-        // Neither the rest of the list is known, nor can it be asked for.
-        read->done(read->error("the page does not lead to the next one"));
-    } else {
-        read->after = last;
-        readNextPage(read);
-    }
-}
-
-void StoreClient::readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done)
-{
-    const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    const std::string target = std::string("/v1/log-read?topic=") + topic + "&part=0&from=" + std::to_string(from.offset)
-                               + "&wait-ms=" + std::to_string(waitMilliseconds);
-    call("log-read", "GET", target, {}, callTimeout + wait, [from, done](const Result<Answer> &answer) {
-        if (!answer.has_value()) {
-            done(answer.error());
-            return;
-        }
-        auto records = answer.value().status == ok ? decodeRecords(answer.value().body, from) : std::nullopt;
-        if (!records) {
-            done(storeError("log-read", answer.value().status == gone ? goneReason : statusText(answer.value().status)));
-            return;
-        }
-        if (answer.value().history) {
-            records->next.history = answer.value().history;
-        }
-        done(std::move(*records));
-    });
-}
-
 void StoreClient::readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done)
 {
     if (from.offset == 0) {
@@ -232,7 +139,7 @@
     readChanges(names::operatorTopic, from, wait, [this, done, wait](const Result<LogRecords> &records) {
         if (records.has_value()) {
             done(collectConfigurations(records.value().records, records.value().next, false));
-        } else if (records.error().reason == goneReason) {
+        } else if (records.error().reason == detail::goneReason) {
             readConfiguration({}, wait, done);
         } else {
             done(records.error());
@@ -257,7 +164,7 @@
     readChanges(names::upstreamTopic, from, Duration::zero(), [this, done](const Result<LogRecords> &records) {
         if (records.has_value()) {
             done(decodeUpstreams(records.value().records, records.value().next, false));
-        } else if (records.error().reason == goneReason) {
+        } else if (records.error().reason == detail::goneReason) {
             readUpstreams({}, done);
         } else {
             done(records.error());
@@ -268,16 +175,20 @@
 void StoreClient::registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done)
 {
     const std::string target = std::string("/v1/log-append?topic=") + names::instanceTopic + "&part=0";
-    call(
-        "log-append", "POST", target, encodeRecord(self.id.value, encodeInstance(self)), callTimeout, [done](const Result<Answer> &answer) {
-            if (!answer.has_value()) {
-                done(answer.error());
-            } else if (answer.value().status != ok) {
-                done(storeError("log-append", statusText(answer.value().status)));
-            } else {
-                done(true);
-            }
-        });
+    call("log-append",
+         "POST",
+         target,
+         encodeRecord(self.id.value, encodeInstance(self)),
+         detail::callTimeout,
+         [done](const Result<Answer> &answer) {
+             if (!answer.has_value()) {
+                 done(answer.error());
+             } else if (answer.value().status != detail::ok) {
+                 done(storeError("log-append", detail::statusText(answer.value().status)));
+             } else {
+                 done(true);
+             }
+         });
 }
 
 void StoreClient::listInstances(const Continuation<membership::InstanceList> &done)
@@ -288,7 +199,7 @@
             done(decodeInstances(log.value().records));
             return;
         }
-        if (log.error().reason != goneReason) {
+        if (log.error().reason != detail::goneReason) {
             done(log.error());
             return;
         }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -14,6 +14,20 @@
 
 namespace jackdawdoor::platform {
 
+namespace detail {
+
+/** The store normally answers in 4 ms, but takes some hundred times as long when it is slow. */
+constexpr Duration callTimeout = std::chrono::milliseconds{1000};
+constexpr int ok = 200;
+/** Reason of an error when the store no longer has the records that were asked for. */
+constexpr const char *goneReason = "gone";
+
+Error storeError(const char *call, const std::string &reason);
+
+std::string statusText(int status);
+
+} // namespace detail
+
 /** Calls the store over its own connections. Used on one loop. */
 class StoreClient
 {
@@ -52,6 +66,10 @@
     void readNextPage(const std::shared_ptr<NewestRead> &read);
     void onPage(const std::shared_ptr<NewestRead> &read, const Answer &answer);
     void readChanges(const char *topic, const fleet::StorePosition &from, Duration wait, const Continuation<LogRecords> &done);
+    void
+    readNextChanges(const char *topic, const std::shared_ptr<LogRecords> &collected, Duration wait, const Continuation<LogRecords> &done);
+    void
+    onChanges(const char *topic, const std::shared_ptr<LogRecords> &collected, const Answer &answer, const Continuation<LogRecords> &done);
     void readConfiguration(const fleet::StorePosition &from, Duration wait, const Continuation<proxy::ConfigurationUpdate> &done);
     void readUpstreams(const fleet::StorePosition &from, const Continuation<proxy::UpstreamUpdate> &done);
     void registerInstance(const membership::ListedInstance &self, const Continuation<bool> &done);
--- a/src/platform/storeformat.cpp
+++ b/src/platform/storeformat.cpp
@@ -105,6 +105,7 @@
     }
     LogRecords result;
     result.next = from;
+    result.end = numberAt(bytes, 0, offsetSize);
     std::size_t position = 2 * offsetSize;
     while (position < bytes.size()) {
         if (bytes.size() - position < lengthSize) {
--- a/src/platform/storeformat.h
+++ b/src/platform/storeformat.h
@@ -29,6 +29,7 @@
 struct LogRecords {
     std::vector<KeyedRecord> records;
     fleet::StorePosition next;
+    std::uint64_t end = 0; ///< offset behind the last record of the log; an answer may hold fewer
 
     bool operator==(const LogRecords &) const = default;
 };
--- a/test/correctness/foreignentries_test.cpp
+++ b/test/correctness/foreignentries_test.cpp
@@ -112,6 +112,22 @@
     }
 }
 
+TEST_CASE("large records of other writers do not hide the instances behind them")
+{
+    PagedStore paged;
+    constexpr std::size_t readSize = 1000;
+    paged.store.setReadSize(readSize);
+    for (const char *name : {"a", "b", "c"}) {
+        paged.store.put(instanceTopic, name, std::string(readSize, '?'));
+    }
+    ProxyInstance first(paged.store);
+    REQUIRE(first.waitForVersion(1));
+    standins::ProxyInstanceOptions options;
+    options.name = "edge-2";
+    ProxyInstance second(paged.store, options);
+    CHECK_MESSAGE(second.waitForInstances(2, std::chrono::seconds{5}), "the second instance did not find the first one");
+}
+
 TEST_CASE("a version that cannot be decoded, or is lower, does not hide the one written before it")
 {
     for (const char *later : {"{}", R"({"version":"zz","listeners":[],"clusters":[]})", "lower"}) {
--- a/test/standins/platformstore.cpp
+++ b/test/standins/platformstore.cpp
@@ -87,6 +87,13 @@
     });
 }
 
+void PlatformStore::setReadSize(std::size_t bytes)
+{
+    m_server.loop().call([&] {
+        m_readSize = bytes;
+    });
+}
+
 void PlatformStore::setStrangeItem(const std::string &item)
 {
     m_server.loop().call([&] {
@@ -203,6 +210,10 @@
     std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
     for (std::uint64_t offset = from; offset < topic.records.size(); ++offset) {
         const Record &record = topic.records[offset];
+        const std::size_t size = 5 + record.key.size() + record.value.size();
+        if (offset > from && body.size() + size > m_readSize) {
+            break;
+        }
         body += bigEndian(1 + record.key.size() + record.value.size(), 4);
         body += bigEndian(record.key.size(), 1) + record.key + record.value;
     }
--- a/test/standins/platformstore.h
+++ b/test/standins/platformstore.h
@@ -53,6 +53,9 @@
     /** Number of records on a page of log-newest; 500 at first. */
     void setPageSize(std::size_t records);
 
+    /** Size in bytes of an answer to log-read; a larger record comes alone. */
+    void setReadSize(std::size_t bytes);
+
     /** Adds an item to each page of log-newest, before its records; the text is JSON. */
     void setStrangeItem(const std::string &item);
 
@@ -84,6 +87,7 @@
     StoreFault m_fault = StoreFault::None;
     std::string m_unavailableTopic;
     std::size_t m_pageSize = 500;
+    std::size_t m_readSize = std::size_t{1024} * 1024;
     std::string m_strangeItem;
     int m_calls = 0;
     StandinServer m_server; // last, so that its thread ends before the state goes
