--- a/test/error/brokenanswers_test.cpp
+++ b/test/error/brokenanswers_test.cpp
@@ -136,9 +136,11 @@
             CAPTURE(line);
             CAPTURE(first);
             const std::string answer = answerWhenUpstreamSends([&](const ReceivedRequest &request) {
+                std::string head = "HTTP/1.1 200 X\r\n";
                 const std::string own = ownLines(request);
-                const std::string head = first ? line + "\r\n" + own : own + line + "\r\n";
-                return "HTTP/1.1 200 X\r\n" + head + "Content-Length: 4\r\n\r\nbody";
+                head += first ? line + "\r\n" : own;
+                head += first ? own : line + "\r\n";
+                return head + "Content-Length: 4\r\n\r\nbody";
             });
             CHECK_MESSAGE(isBadGateway(answer), "unexpected answer: " << answer.substr(0, 300));
         }
