Review: the stand-in signals only a process that runs

Without the check, a signal after the end of the process would have gone to all processes (kill with -1).

--- a/review/standins-2/lab2.cpp
+++ b/review/standins-2/lab2.cpp
@@ -526,7 +526,9 @@
 void Machine::signalProcess(int signal)
 {
     m_record.line("machine " + m_name + " gets signal " + std::to_string(signal));
-    kill(m_process, signal);
+    if (m_process > 0) { // never -1, which would mean all processes
+        kill(m_process, signal);
+    }
 }
 
 std::optional<int> Machine::waitForEnd(long milliseconds)
