--- a/review/standins-2/lab2.cpp
+++ b/review/standins-2/lab2.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
+#include <set>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -79,21 +80,34 @@
     return answer(200, "OK", "Content-Type: application/json\r\n", body);
 }
 
-/** A port that is free for TCP and UDP at this address. */
-int freePort(const std::string &ip)
-{
-    for (int tries = 0; tries < 50; ++tries) {
-        const int stream = socket(AF_INET, SOCK_STREAM, 0);
-        const int datagram = socket(AF_INET, SOCK_DGRAM, 0);
-        sockaddr_in address = addressOf(ip, 0);
-        socklen_t length = sizeof(address);
-        bool free = bind(stream, reinterpret_cast<sockaddr *>(&address), length) == 0;
-        getsockname(stream, reinterpret_cast<sockaddr *>(&address), &length);
-        free = free && bind(datagram, reinterpret_cast<sockaddr *>(&address), length) == 0;
-        close(stream);
-        close(datagram);
+/** A port that is free for TCP and UDP at this address, as are the following count - 1. Each is given out once. */
+int freePorts(const std::string &ip, int count)
+{
+    static std::set<int> given;
+    for (int tries = 0; tries < 200; ++tries) {
+        std::vector<int> sockets;
+        int first = 0;
+        bool free = true;
+        for (int index = 0; index < count && free; ++index) {
+            const int stream = socket(AF_INET, SOCK_STREAM, 0);
+            const int datagram = socket(AF_INET, SOCK_DGRAM, 0);
+            sockets.push_back(stream);
+            sockets.push_back(datagram);
+            sockaddr_in address = addressOf(ip, index == 0 ? 0 : first + index);
+            socklen_t length = sizeof(address);
+            free = bind(stream, reinterpret_cast<sockaddr *>(&address), length) == 0;
+            getsockname(stream, reinterpret_cast<sockaddr *>(&address), &length);
+            first = index == 0 ? ntohs(address.sin_port) : first;
+            free = free && bind(datagram, reinterpret_cast<sockaddr *>(&address), length) == 0 && !given.contains(first + index);
+        }
+        for (const int each : sockets) {
+            close(each);
+        }
         if (free) {
-            return ntohs(address.sin_port);
+            for (int index = 0; index < count; ++index) {
+                given.insert(first + index);
+            }
+            return first;
         }
     }
     return 0;
@@ -467,14 +481,11 @@
     , m_folder(folder)
     , m_name(name)
     , m_ip(ip)
-    , m_front(freePort(ip))
-    , m_ready(freePort(ip))
-    , m_directory(freePort(ip))
-    , m_peers(freePort(ip))
+    , m_front(freePorts(ip, 1))
+    , m_ready(freePorts(ip, 1))
+    , m_directory(freePorts(ip, 1))
+    , m_peers(freePorts(ip, 2))
 {
-    while (m_peers >= 65535) {
-        m_peers = freePort(ip);
-    }
     writeSettings(store);
 }
 
