--- a/review/standins-2/lab2.cpp
+++ b/review/standins-2/lab2.cpp
@@ -320,12 +320,68 @@
     Reader reader(socket);
     while (const auto request = reader.next(false)) {
         sleepMs(4);
-        if (!sendAll(socket, handle(*request))) {
+        const bool isRead = request->firstLine.rfind("GET ", 0) == 0;
+        std::string answered = m_away ? std::string{} : handle(*request);
+        if (answered.empty() || (m_away && isRead)) {
+            answered = answer(503, "Service Unavailable", "", ""); // nothing was done
+        }
+        std::string era;
+        {
+            const std::lock_guard lock(m_mutex);
+            era = "Store-Era: " + std::to_string(m_era) + "\r\n";
+        }
+        answered.insert(answered.find("\r\n") + 2, era);
+        if (!sendAll(socket, answered)) {
             return;
         }
     }
 }
 
+void Store::setAway(bool away)
+{
+    m_away = away;
+}
+
+bool Store::away() const
+{
+    return m_away;
+}
+
+void Store::lapseTargets()
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<std::string> keys;
+    for (const Entry &entry : m_topics["keyed.servers"]) {
+        keys.insert(entry.key);
+    }
+    for (const std::string &key : keys) {
+        m_topics["keyed.servers"].push_back({key, ""});
+    }
+}
+
+bool Store::lists(const std::string &target)
+{
+    const std::lock_guard lock(m_mutex);
+    bool listed = false;
+    for (const Entry &entry : m_topics["keyed.servers"]) {
+        listed = entry.key == target ? !entry.value.empty() : listed;
+    }
+    return listed;
+}
+
+Store::Copy Store::copy()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_topics;
+}
+
+void Store::restore(const Copy &copy)
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics = copy;
+    ++m_era;
+}
+
 std::string Store::handle(const Message &request)
 {
     const std::string path = request.path();
@@ -369,7 +425,10 @@
         {
             const std::lock_guard lock(m_mutex);
             const std::vector<Entry> &entries = m_topics[topic];
-            if (from < entries.size() || nowMs() >= until) {
+            if (from > entries.size()) {
+                return answer(410, "Gone", "Content-Type: application/json\r\n", "{\"first\":0}");
+            }
+            if (from < entries.size() || nowMs() >= until || m_away) {
                 std::string body = bigEndian(entries.size(), 8) + bigEndian(0, 8);
                 for (std::size_t offset = from; offset < entries.size(); ++offset) {
                     const Entry &entry = entries[offset];
@@ -426,10 +485,11 @@
     });
 }
 
-std::string Target::entry() const
+std::string Target::entry(int sequence) const
 {
     return R"({"address":")" + m_server->endpoint() + R"(","born":1765000000000,"info":{"service":")" + m_service
-           + R"(","version":"v1","zone":"z1","slots":6},"status":{"state":"ready","seq-no":1,"warmup-left-ms":0}})";
+           + R"(","version":"v1","zone":"z1","slots":6},"status":{"state":"ready","seq-no":)" + std::to_string(sequence)
+           + R"(,"warmup-left-ms":0}})";
 }
 
 const std::string &Target::id() const
--- a/review/standins-2/lab2.h
+++ b/review/standins-2/lab2.h
@@ -110,12 +110,28 @@
     std::string endpoint() const;
     void put(const std::string &topic, const std::string &key, const std::string &value);
 
-private:
+    /** While it is away, the store answers 503, and nothing is done. */
+    void setAway(bool away);
+    bool away() const;
+
+    /** Removes the entries of all targets, as after three heartbeat intervals of silence. */
+    void lapseTargets();
+
+    /** True if the newest record of the target is an entry. */
+    bool lists(const std::string &target);
+
     struct Entry {
         std::string key;
         std::string value;
     };
+    using Copy = std::map<std::string, std::vector<Entry>>;
 
+    Copy copy();
+
+    /** Comes back from a copy: what was written since is gone, offsets are given out again, Store-Era rises by one. */
+    void restore(const Copy &copy);
+
+private:
     void serve(int socket);
     std::string handle(const Message &request);
     std::string newest(const std::string &topic, const std::string &after);
@@ -123,7 +139,9 @@
     std::string append(const std::string &topic, const std::string &bytes);
 
     std::mutex m_mutex;
-    std::map<std::string, std::vector<Entry>> m_topics;
+    Copy m_topics;
+    int m_era = 1;
+    std::atomic<bool> m_away{false};
     std::unique_ptr<Server> m_server;
 };
 
@@ -144,7 +162,7 @@
     Target(Record &record, std::string id, std::string service, long workMs, std::function<std::size_t(const std::string &)> answerBytes);
 
     /** Value of its entry in the store. */
-    std::string entry() const;
+    std::string entry(int sequence = 1) const;
     const std::string &id() const;
     std::vector<Run> runs();
 
