--- a/review/standins-2/lab2.cpp
+++ b/review/standins-2/lab2.cpp
@@ -10,8 +10,10 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -239,6 +241,32 @@
     return true;
 }
 
+bool sendWhileRead(int socket, std::string_view bytes, long unreadLimitMs)
+{
+    long movedAt = nowMs();
+    int queued = 0;
+    while (!bytes.empty()) {
+        const ssize_t count = send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0 && errno != EAGAIN) {
+            return false;
+        }
+        bytes.remove_prefix(count > 0 ? static_cast<std::size_t>(count) : 0);
+        int left = 0;
+        ioctl(socket, SIOCOUTQ, &left);
+        if (count > 0 || left < queued) {
+            movedAt = nowMs();
+        }
+        queued = left;
+        if (nowMs() - movedAt >= unreadLimitMs) {
+            const linger reset{1, 0};
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            return false;
+        }
+        sleepMs(count > 0 ? 0 : 5);
+    }
+    return true;
+}
+
 Server::Server(std::string address, Handler handler)
     : m_address(std::move(address))
     , m_handler(std::move(handler))
@@ -485,6 +513,11 @@
     });
 }
 
+void Target::setUnreadLimit(long milliseconds)
+{
+    m_unreadLimitMs = milliseconds;
+}
+
 std::string Target::entry(int sequence) const
 {
     return R"({"address":")" + m_server->endpoint() + R"(","born":1765000000000,"info":{"service":")" + m_service
@@ -497,6 +530,11 @@
     return m_id;
 }
 
+int Target::port() const
+{
+    return m_server->port();
+}
+
 std::vector<Run> Target::runs()
 {
     const std::lock_guard lock(m_mutex);
@@ -526,10 +564,11 @@
                       + " bytes, deadline " + headerOf(request->headers, "X-Jackdawdoor-Deadline-Ms") + " ms");
         sleepMs(m_workMs);
         const std::string body = answerBody(id, m_answerBytes(request->path()));
-        const bool sent = sendAll(
-            socket,
-            answer(200, "OK", "X-Jackdawdoor-Request-Id: " + id + "\r\nX-Jackdawdoor-Response-Signature: 1.2.3." + m_id + "\r\n", body));
-        m_record.line(m_id + (sent ? " has answered " : " could not answer ") + id + " with " + std::to_string(body.size()) + " bytes");
+        const std::string whole =
+            answer(200, "OK", "X-Jackdawdoor-Request-Id: " + id + "\r\nX-Jackdawdoor-Response-Signature: 1.2.3." + m_id + "\r\n", body);
+        const bool sent = m_unreadLimitMs > 0 ? sendWhileRead(socket, whole, m_unreadLimitMs) : sendAll(socket, whole);
+        m_record.line(m_id + (sent ? " has answered " : " has broken off its answer to ") + id + " with " + std::to_string(body.size())
+                      + " bytes");
         if (!sent) {
             return;
         }
--- a/review/standins-2/lab2.h
+++ b/review/standins-2/lab2.h
@@ -76,6 +76,9 @@
 
 bool sendAll(int socket, std::string_view bytes);
 
+/** The same, but resets the connection when nothing moves for this long. */
+bool sendWhileRead(int socket, std::string_view bytes, long unreadLimitMs);
+
 /** Listens on a free loopback port and runs a handler in a thread for each connection. */
 class Server
 {
@@ -161,9 +164,13 @@
     /** answerBytes: length of an answer by the request's path. */
     Target(Record &record, std::string id, std::string service, long workMs, std::function<std::size_t(const std::string &)> answerBytes);
 
+    /** From now on it cuts off an answer of which nothing is read for this long. */
+    void setUnreadLimit(long milliseconds);
+
     /** Value of its entry in the store. */
     std::string entry(int sequence = 1) const;
     const std::string &id() const;
+    int port() const;
     std::vector<Run> runs();
 
 private:
@@ -174,6 +181,7 @@
     std::string m_service;
     long m_workMs;
     std::function<std::size_t(const std::string &)> m_answerBytes;
+    std::atomic<long> m_unreadLimitMs{0};
     std::mutex m_mutex;
     std::vector<Run> m_runs;
     std::unique_ptr<Server> m_server;
