Log and count connections that are closed while an answer is undelivered

SIOCOUTQ gives the bytes that the peer has not acknowledged. A close that this side decides on while there are some is now counted and logged as closed-undelivered.

No behaviour changes.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include "proxy/callerconnection.h"
 
 #include "net/peertimeout.h"
+#include "net/unacknowledgedbytes.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -60,7 +61,7 @@
                   if (m_receiving) {
                       reject(HTTP_STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
                   } else {
-                      scheduleEnd();
+                      closeNow();
                   }
               })
     , m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
@@ -210,12 +211,17 @@
     return evbuffer_get_length(bufferevent_get_output(m_socket));
 }
 
+std::size_t CallerConnection::undelivered() const
+{
+    return unsent() + net::unacknowledgedBytes(bufferevent_getfd(m_socket));
+}
+
 void CallerConnection::beginClose(bool closeIdle)
 {
     m_closeAfterAnswer = true;
     if (closeIdle && idle()) {
         m_closing = true;
-        scheduleEnd();
+        closeNow();
     }
 }
 
@@ -258,6 +264,15 @@
     connection->scheduleEnd();
 }
 
+/** Closes at the decision of this side; what the caller has not acknowledged may be lost. */
+void CallerConnection::closeNow()
+{
+    if (!m_ended && undelivered() > 0) {
+        m_hooks.onRejected(*this, 0, "closed-undelivered");
+    }
+    scheduleEnd();
+}
+
 void CallerConnection::scheduleEnd()
 {
     if (m_ended) {
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -86,6 +86,9 @@
     /** Bytes in the output buffer that are not yet written to the socket. */
     std::size_t unsent() const;
 
+    /** Bytes of answers that the caller's system has not acknowledged: the output buffer and the kernel's. */
+    std::size_t undelivered() const;
+
     /** Periodic work: notices whether the caller reads, and aborts an answer that it does not read for 15 s. */
     void tick(TimePoint now);
 
@@ -134,6 +137,7 @@
     std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
     void closeAfterAnswer();
+    void closeNow();
     void scheduleEnd();
     void armIdleTimer();
 
--- a/src/proxy/callerconnectionanswers.cpp
+++ b/src/proxy/callerconnectionanswers.cpp
@@ -154,7 +154,7 @@
 void CallerConnection::closeAfterAnswer()
 {
     if (!m_discarding) {
-        scheduleEnd();
+        closeNow();
         return;
     }
     shutdown(bufferevent_getfd(m_socket), SHUT_WR);
