Close a connection behind an answer only when its caller has the answer

A caller that had not read yet sent a further request behind the first one.

Cause: the connection was closed as soon as the output buffer was empty, that is, when the kernel had the answer. Input that arrives at a closed socket makes the kernel reset the connection and discard what it holds. Ruled out: the end of the process (at 2.6 s, later than the resets), the limits of memory (nothing logged), an abort by the upstream (all six attempts answered).

The same close followed an answer with the caller's own Connection: close, HTTP/1.0, the idle timeout, the directory and the other own ports; a refusal waited 2 s whatever its caller had read of the answers before it; and the process ended when its output buffers were empty.

Now the sending side is shut down, input behind the last answer is read and dropped (left unread behind an unannounced close, so that a request that crosses it counts as unread), and the socket is closed when the caller closes or 2 s after it acknowledged everything. A caller that takes nothing for 15 s is reset, counted in acknowledged bytes and no longer in bytes that the kernel took. A stop waits for these connections within the grace period, and then for those of the own ports.

--- a/src/cli/proxycommand.cpp
+++ b/src/cli/proxycommand.cpp
@@ -112,9 +112,15 @@
 private:
     void stop()
     {
-        m_gateway.beginStop([this] {
-            event_base_loopbreak(m_loop.base());
-        });
+        m_gateway.beginStop({[this] {
+                                 m_server.closeIdle();
+                             },
+                             [this](TimePoint now) {
+                                 return m_server.undeliveredAnswers(now);
+                             },
+                             [this] {
+                                 event_base_loopbreak(m_loop.base());
+                             }});
     }
 
     void readSettings(bool forced)
--- a/src/platform/platformserver.cpp
+++ b/src/platform/platformserver.cpp
@@ -45,6 +45,17 @@
     return true;
 }
 
+void PlatformServer::closeIdle()
+{
+    m_directory.closeIdle();
+    m_readiness.closeIdle();
+}
+
+std::size_t PlatformServer::undeliveredAnswers(TimePoint now) const
+{
+    return m_directory.undeliveredAnswers(now) + m_readiness.undeliveredAnswers(now);
+}
+
 proxy::CallAnswer PlatformServer::answerResolve(const std::string &target)
 {
     if (pathOf(target) != names::resolveCall) {
--- a/src/platform/platformserver.h
+++ b/src/platform/platformserver.h
@@ -14,6 +14,12 @@
 
     Result<bool> listen(const proxy::ProxySettings &settings);
 
+    /** Stops accepting connections and closes the idle ones. */
+    void closeIdle();
+
+    /** Number of connections whose answers have not been delivered. */
+    std::size_t undeliveredAnswers(TimePoint now) const;
+
 private:
     proxy::CallAnswer answerResolve(const std::string &target);
     proxy::CallAnswer answerReadiness(const std::string &target) const;
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -58,17 +58,14 @@
                 }})
     , m_timer(loop,
               [this] {
-                  if (m_receiving) {
-                      reject(HTTP_STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
-                  } else {
-                      closeNow();
-                  }
+                  onTimer(net::now());
               })
     , m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
     , m_memory(std::move(memory))
     , m_output(m_memory, limits::MemoryKind::Answer, 0)
-    , m_sentProgress(net::now())
-    , m_progressed(m_sentProgress)
+    , m_delivery(net::now())
+    , m_progressed(m_delivery.progressed())
+    , m_unreadLimit(maximumUnreadTime)
 {
     net::setPeerTimeout(socket, callerPeerTimeout);
     bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
@@ -88,6 +85,17 @@
     m_timer.set(m_limits.idleTimeout);
 }
 
+void CallerConnection::onTimer(TimePoint now)
+{
+    if (m_lingering) {
+        continueLinger(now);
+    } else if (m_receiving) {
+        reject(HTTP_STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
+    } else {
+        beginLinger(now);
+    }
+}
+
 void CallerConnection::onRead(bufferevent * /*socket*/, void *self)
 {
     static_cast<CallerConnection *>(self)->readInput();
@@ -187,6 +195,9 @@
     m_receiving = false;
     m_closeAfterAnswer = true;
     m_discarding = true;
+    updateDelivery(net::now());
+    // A caller that only goes on sending does not hold the connection longer than that, unless earlier answers wait for it.
+    m_unreadLimit = awaitsDelivery() ? maximumUnreadTime : lingerTime;
     bufferevent_enable(m_socket, EV_READ);
     m_hooks.onRejected(*this, status, reason);
     net::Headers answerHeaders = m_hooks.rejectionHeaders ? m_hooks.rejectionHeaders(m_request.head) : net::Headers{};
@@ -220,11 +231,15 @@
 {
     m_closeAfterAnswer = true;
     if (closeIdle && idle()) {
-        m_closing = true;
-        closeNow();
+        beginLinger(net::now());
     }
 }
 
+bool CallerConnection::awaitsDelivery() const
+{
+    return !m_ended && (m_lingering || !m_delivery.complete());
+}
+
 bool CallerConnection::busy() const
 {
     return m_busy;
@@ -232,7 +247,7 @@
 
 bool CallerConnection::idle() const
 {
-    return !m_busy && !m_receiving && unsent() == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
+    return !m_busy && !m_receiving && !m_closing && unsent() == 0 && evbuffer_get_length(bufferevent_get_input(m_socket)) == 0;
 }
 
 void CallerConnection::onWritten(bufferevent * /*socket*/, void *self)
@@ -243,7 +258,7 @@
         return;
     }
     if (connection->m_closing && !connection->m_busy) {
-        connection->closeAfterAnswer();
+        connection->beginLinger(net::now());
     } else if (connection->m_waitingSince) {
         connection->resumeReading();
     } else {
@@ -264,15 +279,6 @@
     connection->scheduleEnd();
 }
 
-/** Closes at the decision of this side; what the caller has not acknowledged may be lost. */
-void CallerConnection::closeNow()
-{
-    if (!m_ended && undelivered() > 0) {
-        m_hooks.onRejected(*this, 0, "closed-undelivered");
-    }
-    scheduleEnd();
-}
-
 void CallerConnection::scheduleEnd()
 {
     if (m_ended) {
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -2,12 +2,17 @@
  *
  * Pipelined requests wait in the input buffer while an earlier one is answered. A disconnect by the caller is reported
  * immediately.
+ *
+ * A connection is closed in steps. The kernel discards what it still holds of an answer when a connection is closed before its
+ * input has been read or when input arrives afterwards. So the sending side is shut down first, and the socket is closed when the
+ * caller has closed its side, or some time after it has acknowledged all bytes.
  */
 #pragma once
 
 #include "limits/callershare.h"
 #include "limits/memorypressure.h"
 #include "net/eventloop.h"
+#include "proxy/answerdelivery.h"
 #include "proxy/body.h"
 #include "proxy/messageparser.h"
 #include "routing/route.h"
@@ -39,6 +44,13 @@
 
 class CallerConnection;
 
+/** An answer of which the caller reads nothing for this long is aborted. Longer than packet loss delays an answer, and shorter
+ * than callers wait for one. */
+constexpr Duration maximumUnreadTime = std::chrono::seconds{15};
+
+/** Time for a caller that has acknowledged the last answer to read it and to close; what it sends meanwhile is not processed. */
+constexpr Duration lingerTime = std::chrono::seconds{2};
+
 /** Callbacks to the owner of the connections. */
 struct CallerHooks {
     std::function<void(CallerConnection &, CallerRequest &&)> onRequest;
@@ -110,9 +122,12 @@
     /** Ends a request that is being received or an answer that is not read, or drops the input behind a request. */
     void endForMemory(limits::MemoryRelief relief);
 
-    /** Announces "Connection: close" with the next answer; with closeIdle, an idle connection is closed now. */
+    /** Announces "Connection: close" with the next answer; with closeIdle, the close of an idle connection begins now. */
     void beginClose(bool closeIdle);
 
+    /** True if answers have not been delivered, or the caller is given time to read the last one and to close. */
+    bool awaitsDelivery() const;
+
     /** True from a complete request to the end of its answer. */
     bool busy() const;
 
@@ -133,11 +148,14 @@
     void write(const Body &body);
     bool mayRead(std::size_t bytes);
     void noteProgress();
+    void updateDelivery(TimePoint now);
     void abortUnread(const char *reason);
     std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
-    void closeAfterAnswer();
-    void closeNow();
+    void onTimer(TimePoint now);
+    void beginLinger(TimePoint now);
+    void continueLinger(TimePoint now);
+    bool callerClosed() const;
     void scheduleEnd();
     void armIdleTimer();
 
@@ -145,14 +163,12 @@
     routing::CallerLimits m_limits;
     const CallerHooks &m_hooks;
     MessageParser m_parser;
-    net::Timer m_timer; ///< header timeout, or idle timeout between requests
+    net::Timer m_timer; ///< header timeout, idle timeout between requests, or next check of a connection that is closing
     bufferevent *m_socket;
     CallerRequest m_request;
     std::shared_ptr<limits::MemoryAccount> m_memory;
     limits::MemoryReservation m_output; ///< bytes of answers that were copied into the output buffer
-    std::uint64_t m_queuedBytes = 0; ///< written to the output buffer so far
-    std::uint64_t m_sentBytes = 0; ///< of these, sent by the last tick
-    TimePoint m_sentProgress{}; ///< when the caller last read a part of an answer
+    AnswerDelivery m_delivery;
     TimePoint m_progressed{}; ///< when a part of the body last arrived, or when the connection became idle
     std::size_t m_progressBytes = 0; ///< size of the body then
     std::optional<TimePoint> m_waitingSince; ///< not read for lack of memory
@@ -162,7 +178,9 @@
     bool m_chunked = false;
     bool m_closeAfterAnswer = false;
     bool m_closing = false; ///< no further request is read
+    bool m_lingering = false; ///< the sending side is shut down
     bool m_discarding = false; ///< input is read and dropped, so that unread bytes do not reset the connection at its close
+    Duration m_unreadLimit; ///< an answer that is not read for this long is aborted
     bool m_ended = false;
     bool m_tooLarge = false; ///< the body is longer than allowed
     bool m_headTooLarge = false;
@@ -178,6 +196,12 @@
 /** Identifies a connection in the decisions on limits. */
 std::uint64_t idOf(const CallerConnection *connection);
 
+/** Begins the close of the idle connections; the others close after their next answer. */
+void closeIdleConnections(const CallerConnections &connections);
+
+/** Number of connections that await the delivery of an answer. */
+std::size_t undeliveredAnswers(const CallerConnections &connections);
+
 /** Connection that gives way to a new one; nullptr if there is none. See limits::connectionToClose. */
 CallerConnection *connectionToReplace(TimePoint now, const CallerConnections &connections);
 
--- a/src/proxy/callerconnectionanswers.cpp
+++ b/src/proxy/callerconnectionanswers.cpp
@@ -4,17 +4,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#include <sys/socket.h>
-
 #include <cstdio>
 
 namespace jackdawdoor::proxy {
 
 namespace {
 
-/** A refused caller may go on sending for this long, so that it reads the answer before the connection ends. */
-constexpr Duration lingerTime = std::chrono::seconds{2};
-
 void appendHead(std::string &out, int status, const net::Headers &headers)
 {
     out += "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
@@ -136,10 +131,11 @@
     m_chunked = false;
     if (m_closeAfterAnswer) {
         m_closing = true;
-        if (evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
-            closeAfterAnswer();
-        } else {
-            armIdleTimer();
+        m_discarding = true; // requests behind an answer that closes the connection count as not read
+        discardInput();
+        m_timer.cancel();
+        if (unsent() == 0) {
+            beginLinger(m_progressed);
         }
         return;
     }
@@ -151,14 +147,4 @@
     });
 }
 
-void CallerConnection::closeAfterAnswer()
-{
-    if (!m_discarding) {
-        closeNow();
-        return;
-    }
-    shutdown(bufferevent_getfd(m_socket), SHUT_WR);
-    m_timer.set(lingerTime);
-}
-
 } // namespace jackdawdoor::proxy
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/** Longer than packet loss delays an answer, and shorter than callers wait for one. */
-constexpr Duration maximumUnreadTime = std::chrono::seconds{15};
 /** A body that arrives in smaller pieces than this per memoryStallGrace counts as stopped when memory is short. */
 constexpr std::size_t minimumProgressBytes = std::size_t{4} * 1024;
 /** Retry-After of a request that was refused for lack of memory; bodies that stop are closed within this time. */
@@ -45,13 +43,13 @@
 void CallerConnection::write(std::string_view bytes)
 {
     m_output.resize(m_output.bytes() + bytes.size());
-    m_queuedBytes += bytes.size();
+    m_delivery.addQueued(net::now(), bytes.size());
     bufferevent_write(m_socket, bytes.data(), bytes.size());
 }
 
 void CallerConnection::write(const Body &body)
 {
-    m_queuedBytes += body.size();
+    m_delivery.addQueued(net::now(), body.size());
     body.writeTo(bufferevent_get_output(m_socket));
 }
 
@@ -121,7 +119,7 @@
     }
     const bool answering = unsent() > 0;
     const limits::MemoryPhase phase = answering ? limits::MemoryPhase::Answering : limits::MemoryPhase::Running;
-    const TimePoint progressed = answering ? m_sentProgress : m_request.received;
+    const TimePoint progressed = answering ? m_delivery.progressed() : m_request.received;
     return {id, phase, unsent() + runningBytes, m_request.received, progressed, std::nullopt, m_discarding ? 0 : inputBytes()};
 }
 
@@ -151,7 +149,7 @@
         if (!m_busy) {
             m_closing = true; // the answer before the dropped input is complete and is being sent
             if (unsent() == 0) {
-                closeAfterAnswer();
+                beginLinger(net::now());
             }
         }
         return;
@@ -167,17 +165,20 @@
 
 void CallerConnection::tick(TimePoint now)
 {
-    const std::size_t waiting = unsent();
-    m_output.resize(std::min(m_output.bytes(), waiting));
-    const std::uint64_t sent = m_queuedBytes - waiting;
-    if (waiting == 0 || sent != m_sentBytes) {
-        m_sentBytes = sent;
-        m_sentProgress = now;
-    } else if (!m_ended && now - m_sentProgress >= maximumUnreadTime) {
+    m_output.resize(std::min(m_output.bytes(), unsent()));
+    updateDelivery(now);
+    if (!m_ended && m_delivery.stalled(now, m_unreadLimit)) {
         abortUnread("answer-not-read");
     }
 }
 
+void CallerConnection::updateDelivery(TimePoint now)
+{
+    if (!m_delivery.complete()) { // otherwise each idle connection would cost a system call per tick
+        m_delivery.update(now, undelivered());
+    }
+}
+
 void CallerConnection::abortUnread(const char *reason)
 {
     m_hooks.onRejected(*this, 0, reason);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -169,7 +169,7 @@
 
 bool Gateway::ready() const
 {
-    return m_storeReplica && m_storeReplica->ready() && m_onStopped == nullptr;
+    return m_storeReplica && m_storeReplica->ready() && !m_stop;
 }
 
 std::uint64_t Gateway::configurationVersion() const
@@ -245,7 +245,7 @@
         });
     }
     telemetry::flushLog();
-    if (m_onStopped != nullptr) {
+    if (m_stop) {
         advanceStop(now);
     }
     m_timer.set(tickPeriod);
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
     Duration ttl{}; ///< how long callers may cache the answer
 };
 
+/** The parts of a stop that belong to the owner of the instance. */
+struct StopHooks {
+    std::function<void()> closeServers; ///< the callers have their answers: stop the owner's servers
+    std::function<std::size_t(TimePoint now)> undeliveredAnswers; ///< of the owner's servers
+    std::function<void()> onStopped;
+};
+
 /** An instance. Created, used and destroyed on its loop's thread. */
 class Gateway
 {
@@ -40,8 +48,9 @@
     /** Applies changed settings, except for the addresses on which this process listens. */
     void reload(const ProxySettings &settings);
 
-    /** Begins a graceful stop: leaves the membership, drains the requests in progress, then calls onStopped. */
-    void beginStop(std::function<void()> onStopped);
+    /** Begins a graceful stop: leaves the membership, drains the requests in progress, waits until the answers of all servers are
+     * delivered, then calls onStopped. A second call has no effect. */
+    void beginStop(StopHooks hooks);
 
     /** True when a configuration is in force and the process is not stopping. */
     bool ready() const;
@@ -61,6 +70,7 @@
     void applyLimits(const ProxySettings &settings);
     void tick();
     void advanceStop(TimePoint now);
+    std::size_t undeliveredAnswers(TimePoint now) const;
     void sendReports(TimePoint now);
     bool updateServing(const std::vector<fleet::DemandItem> &demand);
     void send(const InstanceRef &to, const fleet::FleetMessage &message);
@@ -118,7 +128,7 @@
     int m_restorations = 0; ///< of the store; a registration from before one does not count
     bool m_serving = false; ///< callers use this instance, by its last load report
     std::uint64_t m_loggedSendFailures = 0;
-    std::function<void()> m_onStopped;
+    std::optional<StopHooks> m_stop; ///< since the stop began
 };
 
 } // namespace jackdawdoor::proxy
--- a/src/proxy/gatewaystop.cpp
+++ b/src/proxy/gatewaystop.cpp
@@ -18,18 +18,24 @@
 
 } // namespace
 
-void Gateway::beginStop(std::function<void()> onStopped)
+void Gateway::beginStop(StopHooks hooks)
 {
-    if (m_onStopped != nullptr) {
+    if (m_stop) {
         return;
     }
-    m_onStopped = std::move(onStopped);
+    m_stop = std::move(hooks);
     m_stopBegin = net::now();
     telemetry::writeLog(LogLevel::Info, "stop", "draining", {{"requests", std::to_string(m_proxy.requests())}});
     sendMembership(m_membership.beginLeave(m_stopBegin));
     m_proxy.beginStop();
 }
 
+std::size_t Gateway::undeliveredAnswers(TimePoint now) const
+{
+    return m_proxy.undeliveredAnswers() + m_peerServer.undeliveredAnswers(now) + m_metricsServer.undeliveredAnswers(now)
+           + m_stop->undeliveredAnswers(now);
+}
+
 void Gateway::advanceStop(TimePoint now)
 {
     const Duration elapsed = now - m_stopBegin;
@@ -38,17 +44,26 @@
         m_context.quotas.leave(now);
         m_proxy.closeIdle();
     }
-    if (elapsed >= m_settings.stopGracePeriod - finalAnswerReserve) {
+    const bool atEnd = elapsed >= m_settings.stopGracePeriod - finalAnswerReserve;
+    if (atEnd) {
         m_proxy.endRequests();
     }
-    const bool finished = m_proxy.requests() == 0 && m_proxy.unsentAnswers() == 0;
+    const bool answered = m_context.stopping && m_proxy.requests() == 0;
+    if (atEnd || (answered && m_proxy.undeliveredAnswers() == 0)) {
+        // Not earlier, since callers and the platform still ask a process that runs.
+        m_peerServer.closeIdle();
+        m_metricsServer.closeIdle();
+        m_stop->closeServers();
+    }
+    const std::size_t undelivered = undeliveredAnswers(now);
+    const bool finished = answered && undelivered == 0;
     if (m_context.stopping && (finished || elapsed >= m_settings.stopGracePeriod - exitReserve)) {
         telemetry::writeLog(finished ? LogLevel::Info : LogLevel::Warning,
                             "stop",
                             finished ? "all requests have ended" : "the grace period is over",
-                            {{"undelivered", std::to_string(m_proxy.unsentAnswers())}});
+                            {{"undelivered", std::to_string(undelivered)}});
         telemetry::flushLog();
-        m_onStopped();
+        m_stop->onStopped();
     }
 }
 
--- a/src/proxy/instanceserver.cpp
+++ b/src/proxy/instanceserver.cpp
@@ -57,6 +57,20 @@
     m_maximumConnections = connections;
 }
 
+void InstanceServer::closeIdle()
+{
+    m_listener.close();
+    closeIdleConnections(m_connections);
+}
+
+std::size_t InstanceServer::undeliveredAnswers(TimePoint now) const
+{
+    for (const auto &[key, connection] : m_connections) {
+        connection->tick(now);
+    }
+    return proxy::undeliveredAnswers(m_connections);
+}
+
 void InstanceServer::accept(int socket)
 {
     if (m_connections.size() >= m_maximumConnections) {
--- a/src/proxy/instanceserver.h
+++ b/src/proxy/instanceserver.h
@@ -40,6 +40,12 @@
 
     void setMaximumConnections(std::size_t connections);
 
+    /** Stops accepting connections and closes the idle ones; the others close after their next answer. */
+    void closeIdle();
+
+    /** Number of connections whose answers have not been delivered. */
+    std::size_t undeliveredAnswers(TimePoint now) const;
+
 private:
     void accept(int socket);
     void answer(CallerConnection &connection, const CallerRequest &request);
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -116,9 +116,7 @@
 void ProxyServer::closeIdle()
 {
     m_listener.close();
-    for (const auto &[key, connection] : m_connections) {
-        connection->beginClose(true);
-    }
+    closeIdleConnections(m_connections);
 }
 
 void ProxyServer::endRequests()
@@ -139,11 +137,9 @@
     return count;
 }
 
-std::size_t ProxyServer::unsentAnswers() const
+std::size_t ProxyServer::undeliveredAnswers() const
 {
-    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
-        return entry.second->unsent() > 0;
-    }));
+    return proxy::undeliveredAnswers(m_connections);
 }
 
 std::size_t ProxyServer::connections() const
--- a/src/proxy/proxyserver.h
+++ b/src/proxy/proxyserver.h
@@ -39,8 +39,8 @@
     /** Number of requests in progress. */
     std::size_t requests() const;
 
-    /** Number of connections with unsent answer bytes. */
-    std::size_t unsentAnswers() const;
+    /** Number of connections whose answers have not been delivered, or whose callers are given time to read the last one. */
+    std::size_t undeliveredAnswers() const;
 
     /** Number of callers' connections. */
     std::size_t connections() const;
--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -152,9 +152,15 @@
 void ProxyInstance::beginStop()
 {
     m_loop.call([this] {
-        m_gateway->beginStop([this] {
-            m_stopped = true;
-        });
+        m_gateway->beginStop({[this] {
+                                  m_server->closeIdle();
+                              },
+                              [this](TimePoint now) {
+                                  return m_server->undeliveredAnswers(now);
+                              },
+                              [this] {
+                                  m_stopped = true;
+                              }});
     });
 }
 
--- a/test/standins/rawclient.cpp
+++ b/test/standins/rawclient.cpp
@@ -14,12 +14,16 @@
 
 namespace jackdawdoor::standins {
 
-RawClient::RawClient(int port, int timeoutMilliseconds, const std::string &host)
+RawClient::RawClient(int port, int timeoutMilliseconds, const std::string &host, int receiveBufferBytes)
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
     const timeval timeout{timeoutMilliseconds / 1000, (timeoutMilliseconds % 1000) * 1000L};
     setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+    if (receiveBufferBytes > 0) {
+        // Before the connection is opened, since the window is agreed on then.
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<in_port_t>(port));
--- a/test/standins/rawclient.h
+++ b/test/standins/rawclient.h
@@ -18,8 +18,9 @@
         Reset,
     };
 
-    /** Throws std::runtime_error when the connection is refused or not opened in time. */
-    explicit RawClient(int port, int timeoutMilliseconds = 5000, const std::string &host = "127.0.0.1");
+    /** Throws std::runtime_error when the connection is refused or not opened in time. receiveBufferBytes: size of the socket's
+     * receive buffer; zero for the system's default. */
+    explicit RawClient(int port, int timeoutMilliseconds = 5000, const std::string &host = "127.0.0.1", int receiveBufferBytes = 0);
     ~RawClient();
     RawClient(const RawClient &) = delete;
     RawClient &operator=(const RawClient &) = delete;
