Begin the idle time when the caller has the whole answer

Ruled out: the limit on unread answers (the callers read all the time, and nothing was logged as answer-not-read).

The idle time now begins when the caller has acknowledged everything. An answer of which nothing is read is ended after 15 s, as before, by tick().

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -91,6 +91,20 @@
         continueLinger(now);
     } else if (m_receiving) {
         reject(HTTP_STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
+    } else {
+        closeIfIdle(now);
+    }
+}
+
+/** The idle time begins when the caller has the whole answer. */
+void CallerConnection::closeIfIdle(TimePoint now)
+{
+    updateDelivery(now);
+    const Duration idleFor = now - std::max(m_progressed, m_delivery.progressed());
+    if (!m_delivery.complete()) {
+        armIdleTimer(); // tick() ends an answer that is not read at all
+    } else if (idleFor < m_limits.idleTimeout) {
+        m_timer.set(m_limits.idleTimeout - idleFor);
     } else {
         beginLinger(now);
     }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -153,6 +153,7 @@
     std::string replyHead(int status, const net::Headers &headers, std::size_t length) const;
     void answerEnded();
     void onTimer(TimePoint now);
+    void closeIfIdle(TimePoint now);
     void beginLinger(TimePoint now);
     void continueLinger(TimePoint now);
     bool callerClosed() const;
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -21,7 +21,7 @@
 class CallerFixture
 {
 public:
-    explicit CallerFixture(std::shared_ptr<limits::MemoryAccount> account)
+    explicit CallerFixture(std::shared_ptr<limits::MemoryAccount> account, const routing::CallerLimits &limits = {})
         : m_account(std::move(account))
     {
         REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, m_sockets) == 0);
@@ -43,8 +43,8 @@
             ended = true;
         };
         m_loop.start();
-        m_loop.call([this] {
-            m_connection = std::make_unique<proxy::CallerConnection>(m_loop, m_sockets[0], routing::CallerLimits{}, m_hooks, m_account);
+        m_loop.call([&] {
+            m_connection = std::make_unique<proxy::CallerConnection>(m_loop, m_sockets[0], limits, m_hooks, m_account);
         });
     }
 
@@ -241,6 +241,30 @@
     CHECK_MESSAGE(caller.gone.load(), "the request was not ended");
 }
 
+// Guards against an idle timeout that cuts off an answer, or a pipelined request behind it, while the caller goes on reading.
+TEST_CASE("the idle timeout begins when the caller has the whole answer")
+{
+    routing::CallerLimits callerLimits;
+    callerLimits.idleTimeout = std::chrono::milliseconds{400};
+    constexpr std::size_t answerBytes = 4 * megabyte;
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>(), callerLimits);
+    caller.answer = [](proxy::CallerConnection &connection) {
+        connection.reply(200, {}, std::string(answerBytes, 'a'));
+    };
+    caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::size_t read = 0;
+    for (std::size_t size = 1; size > 0; read += size) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        size = caller.received().size();
+    }
+    CHECK_MESSAGE(read > 2 * answerBytes, "the caller got " << read << " bytes");
+    CHECK_MESSAGE(caller.requests == 2, "the request behind the answer was dropped");
+    CHECK_MESSAGE(caller.waitUntil([&] {
+        return caller.ended.load();
+    }),
+                  "an idle connection was not closed");
+}
+
 // Guards against an upload that uses up the reserve for small requests because it has only begun.
 TEST_CASE("a body that is announced as large does not begin in the reserve for small ones")
 {
