Replace a caller's connection only when its answers are delivered

At the limit of connections a new one takes the place of an idle one. A connection counted as idle, or its request as standing still, while the kernel held an answer that the caller had not read, so its caller lost the answer.

Such a connection now counts as busy. One that has its last answer and waits for its caller to close gives way first, so that these connections cost no descriptors when they are short.

Test: "a connection gives way to a new one only when its caller has the answer"; without the new condition it failed (the unread answer's connection was replaced).

--- a/src/limits/callershare.cpp
+++ b/src/limits/callershare.cpp
@@ -40,17 +40,22 @@
 
 std::optional<std::uint64_t> connectionToClose(TimePoint now, const std::vector<ConnectionState> &connections)
 {
-    const ConnectionState *idle = nullptr;
-    const ConnectionState *stalled = nullptr;
-    for (const ConnectionState &connection : connections) {
-        if (connection.phase == ConnectionState::Phase::Idle) {
-            idle = idle == nullptr || connection.since < idle->since ? &connection : idle;
-        } else if (connection.phase == ConnectionState::Phase::Receiving && now - connection.since >= stallGrace) {
-            stalled = stalled == nullptr || connection.since < stalled->since ? &connection : stalled;
+    const auto longest = [&connections](ConnectionState::Phase phase) {
+        const ConnectionState *found = nullptr;
+        for (const ConnectionState &connection : connections) {
+            if (connection.phase == phase && (found == nullptr || connection.since < found->since)) {
+                found = &connection;
+            }
+        }
+        return found;
+    };
+    for (const auto phase : {ConnectionState::Phase::Closing, ConnectionState::Phase::Idle}) {
+        if (const ConnectionState *closed = longest(phase)) {
+            return closed->id;
         }
     }
-    const ConnectionState *closed = idle != nullptr ? idle : stalled;
-    return closed == nullptr ? std::nullopt : std::optional(closed->id);
+    const ConnectionState *stalled = longest(ConnectionState::Phase::Receiving);
+    return stalled != nullptr && now - stalled->since >= stallGrace ? std::optional(stalled->id) : std::nullopt;
 }
 
 } // namespace jackdawdoor::limits
--- a/src/limits/callershare.h
+++ b/src/limits/callershare.h
@@ -26,9 +26,10 @@
 /** What a caller's connection does. */
 struct ConnectionState {
     enum class Phase {
-        Idle,
+        Closing, ///< has its last answer and is given time to close
+        Idle, ///< has all answers
         Receiving, ///< part of a request has arrived
-        Busy, ///< its request is complete, or its answer is being sent
+        Busy, ///< its request is complete, or an answer has not been delivered
     };
 
     std::uint64_t id = 0;
@@ -38,8 +39,8 @@
     bool operator==(const ConnectionState &) const = default;
 };
 
-/** Connection that is closed for a new one: the longest idle one, else the one whose request has stood still for longest and
- * at least for a while. Nothing if there is none. */
+/** Connection that is closed for a new one: the one that has been closing for longest, else the longest idle one, else the one whose
+ * request has stood still for longest and at least for a while. Nothing if there is none. */
 std::optional<std::uint64_t> connectionToClose(TimePoint now, const std::vector<ConnectionState> &connections);
 
 } // namespace jackdawdoor::limits
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -117,7 +117,7 @@
     limits::MemoryHolder memoryHolder(std::uint64_t id, std::size_t runningBytes) const;
 
     /** What the connection does, for the choice of one to close. */
-    limits::ConnectionState connectionState(std::uint64_t id) const;
+    limits::ConnectionState connectionState(TimePoint now, std::uint64_t id);
 
     /** Ends a request that is being received or an answer that is not read, or drops the input behind a request. */
     void endForMemory(limits::MemoryRelief relief);
--- a/src/proxy/callerconnectionlimits.cpp
+++ b/src/proxy/callerconnectionlimits.cpp
@@ -31,7 +31,7 @@
     std::vector<limits::ConnectionState> states;
     states.reserve(connections.size());
     for (const auto &[key, connection] : connections) {
-        states.push_back(connection->connectionState(idOf(key)));
+        states.push_back(connection->connectionState(now, idOf(key)));
     }
     const auto closed = limits::connectionToClose(now, states);
     const auto found = std::find_if(connections.begin(), connections.end(), [&closed](const auto &entry) {
@@ -123,9 +123,16 @@
     return {id, phase, unsent() + runningBytes, m_request.received, progressed, std::nullopt, m_discarding ? 0 : inputBytes()};
 }
 
-limits::ConnectionState CallerConnection::connectionState(std::uint64_t id) const
+limits::ConnectionState CallerConnection::connectionState(TimePoint now, std::uint64_t id)
 {
     using Phase = limits::ConnectionState::Phase;
+    updateDelivery(now);
+    if (!m_delivery.complete()) {
+        return {id, Phase::Busy, m_progressed};
+    }
+    if (m_lingering) {
+        return {id, Phase::Closing, m_delivery.progressed()};
+    }
     if (m_receiving) {
         return {id, m_waitingSince ? Phase::Busy : Phase::Receiving, m_progressed};
     }
--- a/test/correctness/memoryaccount_test.cpp
+++ b/test/correctness/memoryaccount_test.cpp
@@ -164,6 +164,8 @@
     const State older{4, State::Phase::Receiving, at(1)};
     const State idle{5, State::Phase::Idle, at(8)};
     const State longer{6, State::Phase::Idle, at(7)};
+    const State closing{7, State::Phase::Closing, at(9)};
+    CHECK(limits::connectionToClose(at(10), {busy, stalled, idle, longer, closing}) == 7U);
     CHECK(limits::connectionToClose(at(10), {busy, fresh, stalled, older, idle, longer}) == 6U);
     CHECK(limits::connectionToClose(at(10), {busy, fresh, stalled, older}) == 4U);
     CHECK(limits::connectionToClose(at(10), {busy, fresh}) == std::nullopt);
--- a/test/error/undeliveredanswer_test.cpp
+++ b/test/error/undeliveredanswer_test.cpp
@@ -100,6 +100,13 @@
         return m_port;
     }
 
+    void setMaximumConnections(std::size_t connections)
+    {
+        m_loop.call([&] {
+            m_server->setMaximumConnections(connections);
+        });
+    }
+
     void closeIdle()
     {
         m_loop.call([this] {
@@ -278,3 +285,24 @@
     CHECK_MESSAGE(bodySize(answer) == smallBytes, "the caller got " << bodySize(answer) << " bytes");
     CHECK_MESSAGE(server.waitUntilDelivered(proxy::lingerTime + seconds{1}), "a caller that does not close holds the stop");
 }
+
+// Guards against an answer that is lost because its connection looks idle and gives way to a new one.
+TEST_CASE("a connection gives way to a new one only when its caller has the answer")
+{
+    OwnServer server(smallBytes);
+    server.setMaximumConnections(1);
+    RawClient client(server.port(), 5000, "127.0.0.1", narrowWindow);
+    client.send(laterCall);
+    std::this_thread::sleep_for(milliseconds{300});
+    RawClient surplus(server.port());
+    surplus.send(laterCall);
+    CHECK_MESSAGE(surplus.receiveAll().empty(), "the unread answer's connection was replaced");
+    client.send(laterCall);
+    std::string answers = client.receiveAnswer();
+    CHECK_MESSAGE(bodySize(answers) == smallBytes, "the caller got " << bodySize(answers) << " bytes");
+    CHECK(bodySize(client.receiveAnswer()) == smallBytes);
+    std::this_thread::sleep_for(milliseconds{100});
+    RawClient later(server.port());
+    later.send(laterCall);
+    CHECK_MESSAGE(bodySize(later.receiveAnswer()) == smallBytes, "an idle connection did not give way");
+}
