Reset an answer that breaks off because its caller sends no more

A caller that has shut down its sending side during a streamed answer without a length (HTTP/1.0) saw an orderly close behind a part of it and could take the part for the whole answer.

Cause: the end of the caller's input ended the request, and the connection was closed with a FIN; only answers that the upstream breaks off or that time out were reset. Found by reading every place where a connection ends behind an answer. Ruled out: a close by the upstream (its answer went on for 2 s).

Such a connection is reset.

Test: "an answer that is broken off because its caller sends no more does not look complete"; it failed before (orderly close).

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -289,6 +289,9 @@
     if (connection->m_busy) {
         connection->m_busy = false;
         connection->m_hooks.onGone(*connection);
+        if (connection->m_streaming) {
+            connection->abort(); // a caller that has only shut down its sending side must not take the part for the whole
+        }
     }
     connection->scheduleEnd();
 }
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -176,6 +176,7 @@
     std::size_t m_wantedBytes = 0;
     bool m_receivingBody = false;
     bool m_busy = false;
+    bool m_streaming = false; ///< a part of an answer has been sent
     bool m_chunked = false;
     bool m_closeAfterAnswer = false;
     bool m_closing = false; ///< no further request is read
--- a/src/proxy/callerconnectionanswers.cpp
+++ b/src/proxy/callerconnectionanswers.cpp
@@ -72,6 +72,7 @@
 {
     std::string out;
     appendHead(out, status, headers);
+    m_streaming = true;
     m_chunked = !length && !m_http10;
     m_closeAfterAnswer = m_closeAfterAnswer || (!length && m_http10);
     if (length) {
@@ -127,6 +128,7 @@
 void CallerConnection::answerEnded()
 {
     m_busy = false;
+    m_streaming = false;
     m_progressed = net::now();
     m_chunked = false;
     if (m_closeAfterAnswer) {
--- a/test/error/undeliveredanswer_test.cpp
+++ b/test/error/undeliveredanswer_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 using namespace jackdawdoor;
 using standins::callerRequest;
@@ -29,16 +30,22 @@
 /** The upstreams of these tests answer after this time, so that a stop begins before the answer. */
 constexpr Duration workTime = milliseconds{500};
 
-/** An instance before one upstream, whose answers have a body of that size. */
-class StoppedInstance
+/** Answers with a body of that size, after workTime. */
+ScriptedUpstream::Script answersOf(std::size_t bodyBytes)
+{
+    return [bodyBytes](const ReceivedRequest &request) {
+        ScriptedReply reply{ScriptedUpstream::answerTo(request, 200, std::string(bodyBytes, 'x'))};
+        reply.delay = workTime;
+        return reply;
+    };
+}
+
+/** An instance before one upstream. */
+class InstanceFixture
 {
 public:
-    explicit StoppedInstance(std::size_t bodyBytes)
-        : m_upstream([bodyBytes](const ReceivedRequest &request) {
-            ScriptedReply reply{ScriptedUpstream::answerTo(request, 200, std::string(bodyBytes, 'x'))};
-            reply.delay = workTime;
-            return reply;
-        })
+    explicit InstanceFixture(ScriptedUpstream::Script script)
+        : m_upstream(std::move(script))
     {
         standins::putConfiguration(m_store, 1);
         standins::putUpstream(m_store, "u1", m_upstream.address(), 1);
@@ -163,7 +170,7 @@
         bytes = largeBytes;
         readBefore = largeBytes - 10 * smallBytes;
     }
-    StoppedInstance fixture(bytes);
+    InstanceFixture fixture(answersOf(bytes));
     RawClient client(fixture.instance().callersPort(), 5000, "127.0.0.1", narrowWindow);
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
@@ -184,7 +191,7 @@
 // Guards against a process that ends while the kernel holds an answer: a request that comes afterwards makes the kernel discard it.
 TEST_CASE("a stopping process waits within the grace period until a caller that reads late has its answer")
 {
-    StoppedInstance fixture(smallBytes);
+    InstanceFixture fixture(answersOf(smallBytes));
     RawClient client(fixture.instance().callersPort(), 5000, "127.0.0.1", narrowWindow);
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
@@ -200,7 +207,7 @@
 // Guards against a stop that waits for the whole grace period for callers that have their answers and do not close.
 TEST_CASE("a caller that has its answer and does not close holds a stop for a short time only")
 {
-    StoppedInstance fixture(smallBytes);
+    InstanceFixture fixture(answersOf(smallBytes));
     RawClient client(fixture.instance().callersPort());
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
@@ -306,3 +313,25 @@
     later.send(laterCall);
     CHECK_MESSAGE(bodySize(later.receiveAnswer()) == smallBytes, "an idle connection did not give way");
 }
+
+// Guards against an answer that breaks off and looks complete, since it has no length and its caller, who had shut down the
+// sending side, saw an orderly close.
+TEST_CASE("an answer that is broken off because its caller sends no more does not look complete")
+{
+    InstanceFixture fixture([](const ReceivedRequest &request) {
+        ScriptedReply reply{"HTTP/1.1 200 OK\r\nX-Jackdawdoor-Request-Id: " + request.header("X-Jackdawdoor-Request-Id")
+                            + "\r\nX-Jackdawdoor-Response-Signature: s\r\n\r\n" + std::string(smallBytes * 100, 'x')};
+        reply.closeAfter = true;
+        reply.rest = "the end";
+        reply.restDelay = seconds{2};
+        return reply;
+    });
+    RawClient client(fixture.instance().callersPort());
+    std::string call = callerRequest("GET", "/safe/a", "id-1");
+    call.replace(call.find("HTTP/1.1"), std::string_view("HTTP/1.1").size(), "HTTP/1.0");
+    client.send(call);
+    REQUIRE_MESSAGE(client.receive(smallBytes).size() == smallBytes, "the answer was not begun");
+    client.finishSending();
+    client.receiveAll();
+    CHECK_MESSAGE(client.end() == RawClient::End::Reset, "the caller cannot tell that the answer is not complete");
+}
--- a/test/standins/rawclient.cpp
+++ b/test/standins/rawclient.cpp
@@ -88,6 +88,11 @@
     return answer;
 }
 
+void RawClient::finishSending() const
+{
+    shutdown(m_socket, SHUT_WR);
+}
+
 RawClient::End RawClient::end() const
 {
     return m_end;
--- a/test/standins/rawclient.h
+++ b/test/standins/rawclient.h
@@ -36,6 +36,9 @@
     /** Reads the head and a body of its Content-Length. */
     std::string receiveAnswer();
 
+    /** Shuts down the sending side. */
+    void finishSending() const;
+
     /** Why the last read ended. */
     End end() const;
 
