Deliver a complete answer to a caller that sends no more

A caller that shut down its sending side while it read an answer got a part of it (65,536 of 4,194,304 bytes in the test).

Cause: the end of the caller's input ended its connection whatever waited in the output buffer or in the kernel. Found by reading every place where a connection ends behind an answer. Ruled out: the request is not running any more then, so no work at an upstream has to be cancelled.

The connection is now closed like one behind its last answer. While a request runs, the end of input still ends that request; complete answers before it are delivered.

Tests: "a caller that sends no more gets the rest of an answer that is complete" failed before; "a refused caller that stops sending and then reads the refusal ends the connection" guards the end of such a connection.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -280,7 +280,7 @@
     }
 }
 
-void CallerConnection::onEvent(bufferevent * /*socket*/, short /*what*/, void *self)
+void CallerConnection::onEvent(bufferevent * /*socket*/, short what, void *self)
 {
     auto *connection = static_cast<CallerConnection *>(self);
     if (connection->m_ended) {
@@ -293,7 +293,12 @@
             connection->abort(); // a caller that has only shut down its sending side must not take the part for the whole
         }
     }
-    connection->scheduleEnd();
+    const bool endOfInput = (what & BEV_EVENT_EOF) != 0;
+    if (endOfInput && !connection->m_ended && connection->undelivered() > 0) {
+        connection->closeAfterDelivery(net::now());
+    } else {
+        connection->scheduleEnd();
+    }
 }
 
 void CallerConnection::scheduleEnd()
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -135,6 +135,13 @@
     bool idle() const;
 
 private:
+    /** The caller's side of the connection. */
+    enum class CallerSide {
+        Open,
+        Closed, ///< it sends no more
+        Failed, ///< reset or unreachable
+    };
+
     static void onRead(bufferevent *socket, void *self);
     static void onWritten(bufferevent *socket, void *self);
     static void onEvent(bufferevent *socket, short what, void *self);
@@ -156,7 +163,8 @@
     void closeIfIdle(TimePoint now);
     void beginLinger(TimePoint now);
     void continueLinger(TimePoint now);
-    bool callerClosed() const;
+    void closeAfterDelivery(TimePoint now);
+    CallerSide callerSide() const;
     void scheduleEnd();
     void armIdleTimer();
 
--- a/src/proxy/callerconnectionclose.cpp
+++ b/src/proxy/callerconnectionclose.cpp
@@ -47,24 +47,46 @@
     m_timer.set(lingerCheckPeriod);
 }
 
+/** The caller has shut down its sending side and may still read the answers before. */
+void CallerConnection::closeAfterDelivery(TimePoint now)
+{
+    if (m_lingering) {
+        return;
+    }
+    m_closing = true;
+    m_receiving = false;
+    m_request.body = Body();
+    m_waitingSince.reset();
+    m_timer.cancel();
+    if (unsent() == 0) {
+        beginLinger(now);
+    }
+}
+
 void CallerConnection::continueLinger(TimePoint now)
 {
     updateDelivery(now);
-    if (m_delivery.stalled(now, m_unreadLimit)) {
-        abortUnread("answer-not-read");
-    } else if (m_delivery.complete() && (callerClosed() || now - m_delivery.progressed() >= lingerTime)) {
+    const CallerSide side = callerSide();
+    const bool read = side == CallerSide::Closed || now - m_delivery.progressed() >= lingerTime;
+    if (side == CallerSide::Failed || (m_delivery.complete() && read)) {
         scheduleEnd();
+    } else if (m_delivery.stalled(now, m_unreadLimit)) {
+        abortUnread("answer-not-read");
     } else {
         m_timer.set(lingerCheckPeriod);
     }
 }
 
-/** True if the caller has closed its side and nothing precedes that in the input. */
-bool CallerConnection::callerClosed() const
+/** State of the caller's side; open while input that was not read precedes its end. */
+CallerConnection::CallerSide CallerConnection::callerSide() const
 {
     char byte = 0;
     const ssize_t size = recv(bufferevent_getfd(m_socket), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+    if (size == 0) {
+        return CallerSide::Closed;
+    }
+    const bool nothingToRead = size < 0 && (errno == EAGAIN || errno == EINTR);
+    return size > 0 || nothingToRead ? CallerSide::Open : CallerSide::Failed;
 }
 
 } // namespace jackdawdoor::proxy
--- a/test/error/callerlimits_test.cpp
+++ b/test/error/callerlimits_test.cpp
@@ -383,3 +383,46 @@
     }));
     CHECK(caller.requests == 1);
 }
+
+// Guards against an answer that is truncated because its caller shut down its sending side behind the request.
+TEST_CASE("a caller that sends no more gets the rest of an answer that is complete")
+{
+    constexpr std::size_t answerBytes = 4 * megabyte;
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    caller.answer = [](proxy::CallerConnection &connection) {
+        connection.reply(200, {}, std::string(answerBytes, 'a'));
+    };
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.waitUntil([&] {
+        return caller.requests == 1;
+    }));
+    caller.shutDown();
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    std::size_t read = 0;
+    for (std::size_t size = 1; size > 0; read += size) {
+        size = caller.received().size();
+    }
+    CHECK_MESSAGE(read > answerBytes, "the caller got " << read << " bytes");
+    CHECK(caller.waitUntil([&] {
+        return caller.ended.load();
+    }));
+    CHECK_FALSE(caller.gone);
+}
+
+// Guards against a connection that is kept because its caller stopped sending before it had read the last answer.
+TEST_CASE("a refused caller that stops sending and then reads the refusal ends the connection")
+{
+    CallerFixture caller(std::make_shared<limits::MemoryAccount>());
+    REQUIRE(caller.sendNow("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"));
+    REQUIRE(caller.waitUntil([&] {
+        return caller.rejected == 413;
+    }));
+    caller.shutDown();
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    CHECK_FALSE(caller.ended);
+    CHECK(caller.received().starts_with("HTTP/1.1 413 "));
+    CHECK_MESSAGE(caller.waitUntil([&] {
+        return caller.ended.load();
+    }),
+                  "the connection is kept");
+}
