Soak: callers that read late and send a further request behind

One caller of each instance now has a narrow window, asks for answers of about 9 KB, sends a further request behind each and reads up to 0.8 s later. An answer counts as received only if its whole length came.

--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -89,6 +89,12 @@
 
 } // namespace
 
+std::string answerBody(std::string_view path, const std::string &id)
+{
+    const std::size_t padding = path.starts_with(longAnswerPath) ? longAnswerBytes : 0;
+    return std::string(padding, 'x') + "body of " + id;
+}
+
 SoakFleet::SoakFleet(std::string binary, int processes, SoakLedger &ledger, std::uint64_t seed)
     : m_binary(std::move(binary))
     , m_ledger(ledger)
@@ -229,7 +235,8 @@
     const auto withHeaders = [&headers](std::string bytes) {
         return bytes.insert(bytes.find("\r\n"), headers);
     };
-    const std::string good = withHeaders(ScriptedUpstream::answerTo(request, 200, "body of " + id));
+    const std::string_view path = std::string_view(request.head).substr(request.head.find(' ') + 1);
+    const std::string good = withHeaders(ScriptedUpstream::answerTo(request, 200, answerBody(path, id)));
     const Duration work = std::chrono::milliseconds{20};
     if (fault == Shed || fault == Rest) {
         return {withHeaders("HTTP/1.1 503 X\r\nX-Jackdawdoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"), false, false, false, {}};
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -15,11 +15,19 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
 namespace jackdawdoor::soak {
 
+/** Requests with this path get answers of about that size, more than fits into the window of a slow reader. */
+constexpr const char *longAnswerPath = "/safe/long/";
+constexpr std::size_t longAnswerBytes = 9000;
+
+/** Body of the answer of each upstream. */
+std::string answerBody(std::string_view path, const std::string &id);
+
 /** Host and ports of one instance. */
 struct InstanceAddress {
     std::string host;
--- a/bench/soak/soakworkload.cpp
+++ b/bench/soak/soakworkload.cpp
@@ -18,11 +18,14 @@
 constexpr int callersPerInstance = 3;
 constexpr int timeoutMilliseconds = 4000;
 
+/** Receive buffer of a slow reader; most of a long answer waits at its sender. */
+constexpr int narrowWindow = 2304;
+
 /** Opens a connection; nullptr while the instance is unreachable. */
-std::unique_ptr<RawClient> connectTo(const InstanceAddress &address)
+std::unique_ptr<RawClient> connectTo(const InstanceAddress &address, int receiveBufferBytes = 0)
 {
     try {
-        return std::make_unique<RawClient>(address.callersPort, timeoutMilliseconds, address.host);
+        return std::make_unique<RawClient>(address.callersPort, timeoutMilliseconds, address.host, receiveBufferBytes);
     } catch (const std::runtime_error &) {
         return nullptr; // expected during faults; the caller retries
     }
@@ -31,11 +34,19 @@
 /** Status used when no complete response head was received. */
 constexpr int noAnswer = 0;
 
-/** Status code of the response, or noAnswer. */
+/** Status code of a complete response, or noAnswer. */
 int statusOf(const std::string &answer)
 {
     constexpr std::size_t statusPosition = 9; // after "HTTP/1.1 "
-    const bool whole = answer.size() > statusPosition && answer.find("\r\n\r\n") != std::string::npos;
+    constexpr std::string_view lengthName = "Content-Length: ";
+    const std::size_t headEnd = answer.find("\r\n\r\n");
+    if (answer.size() <= statusPosition || headEnd == std::string::npos) {
+        return noAnswer;
+    }
+    const std::size_t length = answer.find(lengthName);
+    const bool hasLength = length < headEnd;
+    const long expected = hasLength ? std::atol(answer.c_str() + length + lengthName.size()) : 0;
+    const bool whole = answer.size() - headEnd - 4 >= static_cast<std::size_t>(expected);
     return whole ? std::atoi(answer.c_str() + statusPosition) : noAnswer;
 }
 
@@ -58,6 +69,9 @@
                 callInstance(instance, random, name);
             });
         }
+        m_threads.emplace_back([this, instance, random = RandomSource(seed * 1000 + m_threads.size())] {
+            readSlowly(instance, random, "s" + std::to_string(instance));
+        });
         m_threads.emplace_back([this, instance] {
             watchVersions(instance);
         });
@@ -76,42 +90,75 @@
 {
     std::unique_ptr<RawClient> client;
     for (int number = 0; !m_ending; ++number) {
-        const InstanceAddress address = m_fleet.address(instance);
         if (!client) {
-            client = connectTo(address);
+            client = connectTo(m_fleet.address(instance));
         }
         if (!client) {
             std::this_thread::sleep_for(std::chrono::milliseconds{50});
             continue;
         }
-        const std::string id = name + "-" + std::to_string(number);
-        const bool idempotent = random() % 2 == 0;
-        const bool stoppingBefore = m_fleet.stopping(instance);
-        const InstanceLife life = m_fleet.life(instance);
-        m_ledger.send(id, {life, net::now()});
-        client->send(request(idempotent ? "/safe/" : "/once/", id));
-        const std::string answer = client->receiveAnswer();
-        noteLeaving(life, answer);
-        const int status = statusOf(answer);
-        if (status != noAnswer) {
-            m_ledger.answer(id, idempotent, status);
-            const bool own =
-                answer.ends_with("\r\n\r\nbody of " + id) && answer.find("X-Jackdawdoor-Response-Signature") != std::string::npos;
-            if (status == 200 && !own) {
-                m_ledger.violate("MIXED: " + id + " got another body: " + answer.substr(answer.find("\r\n\r\n")));
-            }
-        } else {
-            // An answer is guaranteed only if the planned stop was in progress throughout; the instance may have been killed since.
-            const bool planned = stoppingBefore && m_fleet.life(instance) == life;
-            m_ledger.cut(id, idempotent, planned);
-        }
-        if (status == noAnswer || answer.find("Connection: close") != std::string::npos) {
+        const std::string path = random() % 2 == 0 ? "/safe/" : "/once/";
+        const Sent sent = send(*client, instance, path, name + "-" + std::to_string(number));
+        if (!receive(*client, instance, sent)) {
             client.reset();
         }
         std::this_thread::sleep_for(std::chrono::milliseconds{5 + random() % 30});
     }
 }
 
+/** Sends a further request behind one whose answer it has not read, and reads late. The second one may be lost with its
+ * connection when the answer before it announces the close. */
+void SoakWorkload::readSlowly(std::size_t instance, RandomSource random, const std::string &name)
+{
+    std::unique_ptr<RawClient> client;
+    for (int number = 0; !m_ending; number += 2) {
+        if (!client) {
+            client = connectTo(m_fleet.address(instance), narrowWindow);
+        }
+        if (!client) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            continue;
+        }
+        const Sent first = send(*client, instance, longAnswerPath, name + "-" + std::to_string(number));
+        std::this_thread::sleep_for(std::chrono::milliseconds{100 + random() % 400});
+        const Sent second = send(*client, instance, longAnswerPath, name + "-" + std::to_string(number + 1));
+        std::this_thread::sleep_for(std::chrono::milliseconds{random() % 400});
+        if (!receive(*client, instance, first) || !receive(*client, instance, second)) {
+            client.reset();
+        }
+    }
+}
+
+SoakWorkload::Sent SoakWorkload::send(const RawClient &client, std::size_t instance, const std::string &path, const std::string &id)
+{
+    const bool stoppingBefore = m_fleet.stopping(instance);
+    const Sent sent{path, id, m_fleet.life(instance), stoppingBefore};
+    m_ledger.send(id, {sent.life, net::now()});
+    client.send(request(path, id));
+    return sent;
+}
+
+/** Records the answer; false if the connection has ended or ends with it. */
+bool SoakWorkload::receive(RawClient &client, std::size_t instance, const Sent &sent)
+{
+    const std::string answer = client.receiveAnswer();
+    noteLeaving(sent.life, answer);
+    const int status = statusOf(answer);
+    const bool idempotent = sent.path != "/once/";
+    if (status == noAnswer) {
+        // An answer is guaranteed only if the planned stop was in progress throughout; the instance may have been killed since.
+        m_ledger.cut(sent.id, idempotent, sent.stoppingBefore && m_fleet.life(instance) == sent.life);
+        return false;
+    }
+    m_ledger.answer(sent.id, idempotent, status);
+    const bool own = answer.ends_with("\r\n\r\n" + answerBody(sent.path, sent.id))
+                     && answer.find("X-Jackdawdoor-Response-Signature") != std::string::npos;
+    if (status == 200 && !own) {
+        m_ledger.violate("MIXED: " + sent.id + " got another body: " + answer.substr(answer.find("\r\n\r\n")));
+    }
+    return answer.find("Connection: close") == std::string::npos;
+}
+
 void SoakWorkload::noteLeaving(const InstanceLife &life, const std::string &answer)
 {
     const std::string head = answer.substr(0, answer.find("\r\n\r\n"));
--- a/bench/soak/soakworkload.h
+++ b/bench/soak/soakworkload.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "soak/soakfleet.h"
 #include "soak/soakledger.h"
+#include "standins/rawclient.h"
 
 #include <atomic>
 #include <thread>
@@ -21,7 +22,18 @@
     SoakWorkload &operator=(const SoakWorkload &) = delete;
 
 private:
+    /** A request that was sent on an open connection. */
+    struct Sent {
+        std::string path;
+        std::string id;
+        InstanceLife life;
+        bool stoppingBefore = false; ///< its instance was stopping already
+    };
+
     void callInstance(std::size_t instance, RandomSource random, const std::string &name);
+    void readSlowly(std::size_t instance, RandomSource random, const std::string &name);
+    Sent send(const standins::RawClient &client, std::size_t instance, const std::string &path, const std::string &id);
+    bool receive(standins::RawClient &client, std::size_t instance, const Sent &sent);
     void noteLeaving(const InstanceLife &life, const std::string &answer);
     void watchVersions(std::size_t instance);
 
