Reset an answer that is not wholly sent when the process ends

When the grace period ended while a part of an answer was still in the output buffer, its caller saw an orderly close. Behind an answer without a length (HTTP/1.0) that looks like the end of the answer.

Cause: the destructor closed the socket with a FIN whatever was unsent. It now resets the connection; a complete output buffer is closed in order as before.

Test: "an answer that is not wholly sent when the process ends is reset" failed before (orderly close).

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -77,6 +77,9 @@
 CallerConnection::~CallerConnection()
 {
     *m_alive = false;
+    if (unsent() > 0) {
+        resetOnClose();
+    }
     bufferevent_free(m_socket);
 }
 
@@ -224,13 +227,18 @@
     if (m_ended) {
         return;
     }
-    // Sends RST: an orderly close would look like the end of an answer that is delimited by the close of the connection.
-    const linger immediately{1, 0};
-    setsockopt(bufferevent_getfd(m_socket), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    resetOnClose();
     m_busy = false;
     scheduleEnd();
 }
 
+/** An orderly close would look like the end of an answer that is delimited by the close of the connection. */
+void CallerConnection::resetOnClose()
+{
+    const linger immediately{1, 0};
+    setsockopt(bufferevent_getfd(m_socket), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+}
+
 std::size_t CallerConnection::unsent() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_socket));
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -165,6 +165,7 @@
     void continueLinger(TimePoint now);
     void closeAfterDelivery(TimePoint now);
     CallerSide callerSide() const;
+    void resetOnClose();
     void scheduleEnd();
     void armIdleTimer();
 
--- a/test/error/undeliveredanswer_test.cpp
+++ b/test/error/undeliveredanswer_test.cpp
@@ -93,9 +93,7 @@
 
     ~OwnServer()
     {
-        m_loop.call([this] {
-            m_server.reset();
-        });
+        end();
         m_loop.stop();
     }
 
@@ -114,6 +112,14 @@
         });
     }
 
+    /** Like the end of the process. */
+    void end()
+    {
+        m_loop.call([this] {
+            m_server.reset();
+        });
+    }
+
     void closeIdle()
     {
         m_loop.call([this] {
@@ -335,3 +341,15 @@
     client.receiveAll();
     CHECK_MESSAGE(client.end() == RawClient::End::Reset, "the caller cannot tell that the answer is not complete");
 }
+
+// Guards against an answer that breaks off with the end of the process and looks complete to a caller that takes the close for its end.
+TEST_CASE("an answer that is not wholly sent when the process ends is reset")
+{
+    OwnServer server(largeBytes);
+    RawClient client(server.port(), 5000, "127.0.0.1", narrowWindow);
+    client.send("GET / HTTP/1.0\r\n\r\n");
+    CHECK(client.receive(smallBytes).size() == smallBytes);
+    server.end();
+    client.receiveAll();
+    CHECK_MESSAGE(client.end() == RawClient::End::Reset, "the part of the answer looks complete");
+}
