Tests: one fixture for an instance before stand-ins of upstreams

Four test files started the store, the upstreams' entries and the instance with the same lines. proxy_test, brokenanswers_test, endlessanswers_test and undeliveredanswer_test now share standins/instancefixture.h. No check changes.

--- a/test/correctness/proxy_test.cpp
+++ b/test/correctness/proxy_test.cpp
@@ -1,5 +1,5 @@
 /** One proxy instance end to end, with stand-ins for the platform's store and for upstreams. */
-#include "standins/proxyinstance.h"
+#include "standins/instancefixture.h"
 #include "standins/rawclient.h"
 
 #include <doctest/doctest.h>
@@ -9,6 +9,7 @@
 
 using namespace jackdawdoor;
 using standins::callerRequest;
+using standins::InstanceFixture;
 using standins::PlatformStore;
 using standins::ProxyInstance;
 using standins::RawClient;
@@ -36,24 +37,6 @@
     return answer.starts_with("HTTP/1.1 " + std::to_string(status));
 }
 
-/** One proxy instance with the given upstreams. */
-struct InstanceFixture {
-    explicit InstanceFixture(const std::vector<ScriptedUpstream *> &upstreams)
-    {
-        standins::putConfiguration(store, 1);
-        int number = 0;
-        for (const ScriptedUpstream *upstream : upstreams) {
-            standins::putUpstream(store, "u" + std::to_string(++number), upstream->address(), 1);
-        }
-        instance = std::make_unique<ProxyInstance>(store);
-        REQUIRE_MESSAGE(instance->waitForVersion(1), "the configuration is not in force");
-        REQUIRE_MESSAGE(instance->waitForUpstreams(upstreams.size()), "the instance does not know the upstreams");
-    }
-
-    PlatformStore store;
-    std::unique_ptr<ProxyInstance> instance;
-};
-
 } // namespace
 
 TEST_CASE("a request reaches an upstream unchanged and its answer is returned with the signature")
@@ -346,10 +329,7 @@
     CHECK_MESSAGE(hasStatus(answer, 200), "the stop aborted a request: " << answer);
     CHECK_MESSAGE(answer.find("Connection: close") != std::string::npos,
                   "the answer does not announce that the connection closes: " << answer);
-    for (int count = 0; count < 600 && !fixture.instance->stopped(); ++count) {
-        std::this_thread::sleep_for(std::chrono::milliseconds{10});
-    }
-    CHECK_MESSAGE(fixture.instance->stopped(), "the process did not end within the grace period");
+    CHECK_MESSAGE(fixture.waitUntilStopped(std::chrono::seconds{6}), "the process did not end within the grace period");
 }
 
 // Guards against a process that is killed at the end of the grace period because a caller does not read its answer.
--- a/test/error/brokenanswers_test.cpp
+++ b/test/error/brokenanswers_test.cpp
@@ -1,5 +1,5 @@
 /** Answers that break off or that are not valid HTTP: no part of one reaches a caller as an answer. */
-#include "standins/proxyinstance.h"
+#include "standins/instancefixture.h"
 #include "standins/rawclient.h"
 
 #include <doctest/doctest.h>
@@ -11,8 +11,6 @@
 
 using namespace jackdawdoor;
 using standins::callerRequest;
-using standins::PlatformStore;
-using standins::ProxyInstance;
 using standins::RawClient;
 using standins::ReceivedRequest;
 using standins::ScriptedReply;
@@ -29,14 +27,10 @@
 }
 
 /** One instance before one upstream. */
-struct OneUpstream {
+struct OneUpstream : standins::InstanceFixture {
     explicit OneUpstream(const ScriptedUpstream &upstream)
+        : InstanceFixture({&upstream})
     {
-        standins::putConfiguration(store, 1);
-        standins::putUpstream(store, "u1", upstream.address(), 1);
-        instance = std::make_unique<ProxyInstance>(store);
-        REQUIRE(instance->waitForVersion(1));
-        REQUIRE(instance->waitForUpstreams(1));
     }
 
     /** Answer to a request that is not idempotent, so that it is sent once. */
@@ -46,9 +40,6 @@
         client.send(callerRequest("POST", "/once/a", "id-1", body));
         return client.receiveAnswer();
     }
-
-    PlatformStore store;
-    std::unique_ptr<ProxyInstance> instance;
 };
 
 /** Answer that a caller gets when the upstream sends these bytes and keeps the connection open. */
--- a/test/error/endlessanswers_test.cpp
+++ b/test/error/endlessanswers_test.cpp
@@ -1,5 +1,5 @@
 /** Upstreams that send bytes without end: memory and time stay bounded, and the caller is not told a success. */
-#include "standins/proxyinstance.h"
+#include "standins/instancefixture.h"
 #include "standins/rawclient.h"
 
 #include <doctest/doctest.h>
@@ -9,8 +9,6 @@
 
 using namespace jackdawdoor;
 using standins::callerRequest;
-using standins::PlatformStore;
-using standins::ProxyInstance;
 using standins::RawClient;
 using standins::ReceivedRequest;
 using standins::ScriptedReply;
@@ -76,12 +74,8 @@
         : upstream([entry](const ReceivedRequest &request) {
             return replyFor(entry, request);
         })
+        , proxy({&upstream})
     {
-        standins::putConfiguration(store, 1);
-        standins::putUpstream(store, "u1", upstream.address(), 1);
-        instance = std::make_unique<ProxyInstance>(store);
-        REQUIRE(instance->waitForVersion(1));
-        REQUIRE(instance->waitForUpstreams(1));
     }
 
     /** Waits until the upstream has seen the end of its connection. */
@@ -94,8 +88,7 @@
     }
 
     ScriptedUpstream upstream;
-    PlatformStore store;
-    std::unique_ptr<ProxyInstance> instance;
+    standins::InstanceFixture proxy;
 };
 
 } // namespace
@@ -108,7 +101,7 @@
         CAPTURE(entry.name);
         const EndlessFixture fixture(entry);
         const auto begin = std::chrono::steady_clock::now();
-        RawClient client(fixture.instance->callersPort(), 8000);
+        RawClient client(fixture.proxy.instance->callersPort(), 8000);
         client.send(callerRequest("POST", "/once/a", "id-1", "order"));
         const std::string answer = client.receiveAnswer();
         const auto took = std::chrono::steady_clock::now() - begin;
@@ -126,7 +119,7 @@
 TEST_CASE("a success with a body without end reaches the caller as a broken answer at the route's timeout")
 {
     const EndlessFixture fixture({"success", signedHead(200, "ID"), std::string(blockBytes, 'x')});
-    RawClient client(fixture.instance->callersPort(), 8000);
+    RawClient client(fixture.proxy.instance->callersPort(), 8000);
     const auto begin = std::chrono::steady_clock::now();
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     const std::string answer = client.receiveAll();
--- a/test/error/undeliveredanswer_test.cpp
+++ b/test/error/undeliveredanswer_test.cpp
@@ -1,6 +1,6 @@
 /** Answers that are complete for the process while the kernel still holds them: a close must not discard what callers read later. */
 #include "proxy/instanceserver.h"
-#include "standins/proxyinstance.h"
+#include "standins/instancefixture.h"
 #include "standins/rawclient.h"
 
 #include <doctest/doctest.h>
@@ -13,6 +13,7 @@
 
 using namespace jackdawdoor;
 using standins::callerRequest;
+using standins::InstanceFixture;
 using standins::RawClient;
 using standins::ReceivedRequest;
 using standins::ScriptedReply;
@@ -40,40 +41,6 @@
     };
 }
 
-/** An instance before one upstream. */
-class InstanceFixture
-{
-public:
-    explicit InstanceFixture(ScriptedUpstream::Script script)
-        : m_upstream(std::move(script))
-    {
-        standins::putConfiguration(m_store, 1);
-        standins::putUpstream(m_store, "u1", m_upstream.address(), 1);
-        m_instance = std::make_unique<standins::ProxyInstance>(m_store);
-        REQUIRE_MESSAGE(m_instance->waitForVersion(1), "the configuration is not in force");
-        REQUIRE_MESSAGE(m_instance->waitForUpstreams(1), "the instance does not know the upstream");
-    }
-
-    standins::ProxyInstance &instance()
-    {
-        return *m_instance;
-    }
-
-    bool waitUntilStopped(Duration time) const
-    {
-        const TimePoint end = net::now() + time;
-        while (!m_instance->stopped() && net::now() < end) {
-            std::this_thread::sleep_for(milliseconds{10});
-        }
-        return m_instance->stopped();
-    }
-
-private:
-    standins::PlatformStore m_store;
-    ScriptedUpstream m_upstream;
-    std::unique_ptr<standins::ProxyInstance> m_instance;
-};
-
 /** Server of the instance's own calls; each answer has a body of that size. */
 class OwnServer
 {
@@ -176,11 +143,12 @@
         bytes = largeBytes;
         readBefore = largeBytes - 10 * smallBytes;
     }
-    InstanceFixture fixture(answersOf(bytes));
-    RawClient client(fixture.instance().callersPort(), 5000, "127.0.0.1", narrowWindow);
+    const ScriptedUpstream upstream(answersOf(bytes));
+    const InstanceFixture fixture({&upstream});
+    RawClient client(fixture.instance->callersPort(), 5000, "127.0.0.1", narrowWindow);
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
-    fixture.instance().beginStop();
+    fixture.instance->beginStop();
     std::this_thread::sleep_for(workTime);
     for (const char *id : {"id-2", "id-3", "id-4"}) {
         client.send(callerRequest("GET", "/safe/a", id));
@@ -197,11 +165,12 @@
 // Guards against a process that ends while the kernel holds an answer: a request that comes afterwards makes the kernel discard it.
 TEST_CASE("a stopping process waits within the grace period until a caller that reads late has its answer")
 {
-    InstanceFixture fixture(answersOf(smallBytes));
-    RawClient client(fixture.instance().callersPort(), 5000, "127.0.0.1", narrowWindow);
+    const ScriptedUpstream upstream(answersOf(smallBytes));
+    const InstanceFixture fixture({&upstream});
+    RawClient client(fixture.instance->callersPort(), 5000, "127.0.0.1", narrowWindow);
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
-    fixture.instance().beginStop();
+    fixture.instance->beginStop();
     CHECK_MESSAGE(!fixture.waitUntilStopped(milliseconds{3600}), "the process ended before the caller had its answer");
     client.send(callerRequest("GET", "/safe/a", "id-2"));
     const std::string answer = client.receiveAnswer();
@@ -213,11 +182,12 @@
 // Guards against a stop that waits for the whole grace period for callers that have their answers and do not close.
 TEST_CASE("a caller that has its answer and does not close holds a stop for a short time only")
 {
-    InstanceFixture fixture(answersOf(smallBytes));
-    RawClient client(fixture.instance().callersPort());
+    const ScriptedUpstream upstream(answersOf(smallBytes));
+    const InstanceFixture fixture({&upstream});
+    RawClient client(fixture.instance->callersPort());
     client.send(callerRequest("GET", "/safe/a", "id-1"));
     std::this_thread::sleep_for(workTime / 2);
-    fixture.instance().beginStop();
+    fixture.instance->beginStop();
     CHECK(bodySize(client.receiveAnswer()) == smallBytes);
     CHECK_MESSAGE(fixture.waitUntilStopped(proxy::lingerTime + milliseconds{1500}), "the stop waits for a caller that has its answer");
 }
@@ -324,7 +294,7 @@
 // sending side, saw an orderly close.
 TEST_CASE("an answer that is broken off because its caller sends no more does not look complete")
 {
-    InstanceFixture fixture([](const ReceivedRequest &request) {
+    const ScriptedUpstream upstream([](const ReceivedRequest &request) {
         ScriptedReply reply{"HTTP/1.1 200 OK\r\nX-Jackdawdoor-Request-Id: " + request.header("X-Jackdawdoor-Request-Id")
                             + "\r\nX-Jackdawdoor-Response-Signature: s\r\n\r\n" + std::string(smallBytes * 100, 'x')};
         reply.closeAfter = true;
@@ -332,7 +302,8 @@
         reply.restDelay = seconds{2};
         return reply;
     });
-    RawClient client(fixture.instance().callersPort());
+    const InstanceFixture fixture({&upstream});
+    RawClient client(fixture.instance->callersPort());
     std::string call = callerRequest("GET", "/safe/a", "id-1");
     call.replace(call.find("HTTP/1.1"), std::string_view("HTTP/1.1").size(), "HTTP/1.0");
     client.send(call);
