Do not let the kernel end a caller's connection that is being read

Cause: TCP_USER_TIMEOUT (15 s) on callers' connections. While the window is narrower than what the kernel wants to send next, Linux is in its probe state and counts that time, whatever the caller reads meanwhile. Ruled out: the idle timeout and the limit on unread answers (both begin at the last acknowledged byte; the latter is logged), the upstream (its answers had been read whole).

Callers' connections keep the TCP keep-alive and lose that option. A caller that acknowledges nothing for 15 s is ended by tick(), as it was.

--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -67,7 +67,7 @@
     , m_progressed(m_delivery.progressed())
     , m_unreadLimit(maximumUnreadTime)
 {
-    net::setPeerTimeout(socket, callerPeerTimeout);
+    net::setKeepAlive(socket, callerPeerTimeout); // tick() ends an answer that is not acknowledged
     bufferevent_setcb(m_socket, &CallerConnection::onRead, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
     bufferevent_setwatermark(m_socket, EV_READ, 0, maximumReadAheadBytes);
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
--- a/test/error/undeliveredanswer_test.cpp
+++ b/test/error/undeliveredanswer_test.cpp
@@ -324,3 +324,24 @@
     client.receiveAll();
     CHECK_MESSAGE(client.end() == RawClient::End::Reset, "the part of the answer looks complete");
 }
+
+// Guards against a timeout of the kernel that resets a caller which reads all the time: it counts the time since the window was
+// last wide enough for what the kernel wants to send next, and a narrow window never is.
+TEST_CASE("a caller that reads through a narrow window for longer than the limit on unread answers has its answer")
+{
+    constexpr std::size_t bytes = 540000;
+    constexpr int window = 8192;
+    constexpr std::size_t readBytes = 1500;
+    const OwnServer server(bytes);
+    RawClient client(server.port(), 5000, "127.0.0.1", window);
+    client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const TimePoint end = net::now() + proxy::maximumUnreadTime + milliseconds{1500};
+    std::string answer;
+    while (net::now() < end && client.end() == RawClient::End::Open) {
+        answer += client.receive(readBytes);
+        std::this_thread::sleep_for(milliseconds{100});
+    }
+    answer += client.receiveAll();
+    CHECK_MESSAGE(bodySize(answer) == bytes, "the caller got " << bodySize(answer) << " bytes");
+    CHECK(client.end() == RawClient::End::Closed);
+}
