Test stand-ins: give out each free port once

Cause: an instance takes five ports by freePort(), which closes each before the next one is chosen, so that the system can name one twice. Ruled out as the only cause: another process that takes a port in between is possible still, and was not seen.

A process is given each port once.

--- a/test/standins/proxyinstance.cpp
+++ b/test/standins/proxyinstance.cpp
@@ -11,6 +11,8 @@
 
 #include <cstdio>
 #include <future>
+#include <mutex>
+#include <set>
 
 namespace jackdawdoor::standins {
 
@@ -42,7 +44,9 @@
 
 } // namespace
 
-int freePort()
+namespace {
+
+int unusedPort()
 {
     const int probe = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -55,6 +59,21 @@
     return ntohs(address.sin_port);
 }
 
+} // namespace
+
+int freePort()
+{
+    // The system may name a port again before it is used, for another purpose of the same instance.
+    static std::mutex mutex;
+    static std::set<int> given;
+    const std::lock_guard lock(mutex);
+    int port = unusedPort();
+    while (!given.insert(port).second) {
+        port = unusedPort();
+    }
+    return port;
+}
+
 ProxyInstance::ProxyInstance(PlatformStore &store, const ProxyInstanceOptions &options)
 {
     const std::string host = "127.0.0.1";
--- a/test/standins/proxyinstance.h
+++ b/test/standins/proxyinstance.h
@@ -62,7 +62,7 @@
     std::atomic<bool> m_stopped{false};
 };
 
-/** Loopback port that is free for TCP. Instances use the same number for UDP, where it is not checked. */
+/** Loopback port that is free for TCP and was not returned before. Instances use the same number for UDP, where it is not checked. */
 int freePort();
 
 /** Writes a configuration with one route for each of "/safe/", "/once/" and "/slow/" of host "h.example" to the store. The
