--- a/bench/soak/soakworkload.cpp
+++ b/bench/soak/soakworkload.cpp
@@ -132,7 +132,7 @@
 SoakWorkload::Sent SoakWorkload::send(const RawClient &client, std::size_t instance, const std::string &path, const std::string &id)
 {
     const bool stoppingBefore = m_fleet.stopping(instance);
-    const Sent sent{path, id, m_fleet.life(instance), stoppingBefore};
+    Sent sent{path, id, m_fleet.life(instance), stoppingBefore};
     m_ledger.send(id, {sent.life, net::now()});
     client.send(request(path, id));
     return sent;
